--- a/fleet/connection/endpoint/client.go
+++ b/fleet/connection/endpoint/client.go
@@ -15,14 +15,6 @@
 	"github.com/juju/errors"
 
 	"jacinthpaddle.example/fleet/process/clock"
-	"jacinthpaddle.example/fleet/process/journal"
-	"jacinthpaddle.example/fleet/process/vm"
-)
-
-// Headers by which an endpoint tells what became of a request, and of itself.
-const (
-	RunHeader   = "X-Run"
-	StateHeader = "X-Endpoint-State"
 )
 
 // Moment tells how far a request had come when it failed.
@@ -37,6 +29,11 @@
 	MidStream         Moment = "mid_stream"
 )
 
+// Arrived reports whether a part of the request may have reached the endpoint.
+func (m Moment) Arrived() bool {
+	return m != BeforeConnect && m != AfterConnect
+}
+
 // CallError says how far a request had come when it failed. Silent is true when
 // the endpoint gave no sign in time, and Canceled when the caller gave up.
 type CallError struct {
@@ -75,25 +72,26 @@
 	Stall time.Duration
 }
 
-// Call is one request to an endpoint. Path may carry a query.
+// Call is one request to an endpoint. Path may carry a query. Host, unless it is
+// empty, is named in place of the endpoint's address.
 type Call struct {
 	Method string
+	Host   string
 	Path   string
 	Header http.Header
 	Body   []byte
+	Mark   Mark
 	Limits Limits
 }
 
-// Answer is what an endpoint sent. Run is the endpoint's own word, or empty.
-// Framed is false when the end of the body cannot be told from a cut. Close
-// must be called on the body.
+// Answer is what an endpoint sent. Framed is false when the end of the body
+// cannot be told from a cut. Close must be called on the body.
 type Answer struct {
-	Status  int
-	Header  http.Header
-	Body    io.ReadCloser
-	Run     journal.Run
-	Leaving bool
-	Framed  bool
+	Signs
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	Framed bool
 }
 
 // Client holds the connections to one endpoint. It never repeats a request and
@@ -101,6 +99,7 @@
 type Client struct {
 	address   string
 	clock     clock.Clock
+	dialect   Dialect
 	transport *http.Transport
 }
 
@@ -127,7 +126,7 @@
 		MaxIdleConnsPerHost: config.MaxIdle,
 		IdleConnTimeout:     config.IdleTimeout,
 	}
-	return &Client{address: address, clock: clk, transport: transport}
+	return &Client{address: address, clock: clk, dialect: config.dialect(), transport: transport}
 }
 
 // CloseIdle closes the connections that are not in use.
@@ -172,6 +171,10 @@
 	request.GetBody = nil
 	request.ContentLength = int64(len(call.Body))
 	request.Header = requestHeader(call.Header)
+	if call.Host != "" {
+		request.Host = call.Host
+	}
+	c.dialect.Mark(request.Header, call.Mark)
 	return request, nil
 }
 
@@ -229,11 +232,10 @@
 
 func (c *Client) answer(ctx context.Context, cancel context.CancelCauseFunc, response *http.Response, stall time.Duration) *Answer {
 	return &Answer{
-		Status:  response.StatusCode,
-		Header:  response.Header,
-		Run:     runWord(response.Header.Get(RunHeader)),
-		Leaving: response.Header.Get(StateHeader) == string(vm.Leaving),
-		Framed:  response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		Signs:  c.dialect.Read(response.StatusCode, response.Header),
+		Status: response.StatusCode,
+		Header: response.Header,
+		Framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		Body: &body{
 			client: c,
 			ctx:    ctx,
@@ -245,13 +247,3 @@
 		},
 	}
 }
-
-// runWord returns the endpoint's word if it is one of ours.
-func runWord(word string) journal.Run {
-	switch run := journal.Run(word); run {
-	case journal.NotRun, journal.Ran, journal.Unknown:
-		return run
-	default:
-		return ""
-	}
-}
--- /dev/null
+++ b/fleet/connection/endpoint/dialect.go
@@ -0,0 +1,86 @@
+package endpoint
+
+import (
+	"net/http"
+	"time"
+
+	"jacinthpaddle.example/fleet/process/ident"
+	"jacinthpaddle.example/fleet/process/journal"
+	"jacinthpaddle.example/fleet/process/vm"
+)
+
+// Headers of the fleet's own dialect, by which a request names its attempt and an
+// endpoint tells what became of it, and of itself.
+const (
+	RequestHeader = "X-Request-Id"
+	AttemptHeader = "X-Attempt-Id"
+	RunHeader     = "X-Run"
+	StateHeader   = "X-Endpoint-State"
+)
+
+// Mark is what a request tells its endpoint besides what the caller sent. Left is
+// the time that remains until the request's deadline.
+type Mark struct {
+	Request  ident.Request
+	Attempt  ident.Attempt
+	Endpoint string
+	Team     string
+	Left     time.Duration
+}
+
+// Signs are what the head of an answer tells. Run is the endpoint's own word, or
+// empty, and Attempt the request that it answers, or empty. Load is nil if the
+// answer tells none. Misdirected says that another endpoint has the address.
+type Signs struct {
+	Run         journal.Run
+	Attempt     ident.Attempt
+	Leaving     bool
+	Misdirected bool
+	Load        *Load
+}
+
+// Load is the number of requests at an endpoint, and of those that it runs at
+// the same time.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Dialect puts marks into a request's header and reads the signs of an answer.
+// It is safe for concurrent use.
+type Dialect interface {
+	Mark(header http.Header, mark Mark)
+	Read(status int, header http.Header) Signs
+}
+
+// Own is the fleet's own dialect.
+type Own struct{}
+
+// Mark implements Dialect.
+func (Own) Mark(header http.Header, mark Mark) {
+	if mark.Attempt == "" {
+		return
+	}
+	header.Set(RequestHeader, string(mark.Request))
+	header.Set(AttemptHeader, string(mark.Attempt))
+}
+
+// Read implements Dialect.
+func (Own) Read(_ int, header http.Header) Signs {
+	return Signs{
+		Run:     runWord(header.Get(RunHeader)),
+		Attempt: ident.Attempt(header.Get(AttemptHeader)),
+		Leaving: header.Get(StateHeader) == string(vm.Leaving),
+	}
+}
+
+// runWord returns the endpoint's word if it is one of ours.
+func runWord(word string) journal.Run {
+	switch run := journal.Run(word); run {
+	case journal.NotRun, journal.Ran, journal.Unknown:
+		return run
+	default:
+		return ""
+	}
+}
--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -156,14 +156,24 @@
 	}
 }
 
-// Do sends one request and notes an answer that says that the endpoint leaves.
+// Do sends one request and notes what the head of its answer says of the
+// endpoint.
 func (s *State) Do(ctx context.Context, call Call) (*Answer, error) {
 	answer, err := s.Client.Do(ctx, call)
 	if err != nil {
 		return nil, err
 	}
+	now := s.Client.clock.Now()
 	if answer.Leaving {
-		s.MarkLeaving(ByAnswer, s.Client.clock.Now())
+		s.MarkLeaving(ByAnswer, now)
+	}
+	if answer.Load != nil {
+		s.Receive(Report{
+			InFlight:   answer.Load.Running,
+			Waiting:    answer.Load.Waiting,
+			Slots:      answer.Load.Slots,
+			ReceivedAt: now,
+		})
 	}
 	return answer, nil
 }
--- a/fleet/connection/endpoint/table.go
+++ b/fleet/connection/endpoint/table.go
@@ -37,6 +37,15 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the unused connections to one endpoint.
 	MaxIdle int
+	// Dialect is spoken with endpoints. Nil is the fleet's own.
+	Dialect Dialect
+}
+
+func (c Config) dialect() Dialect {
+	if c.Dialect == nil {
+		return Own{}
+	}
+	return c.Dialect
 }
 
 // Defaults returns the settings for a process at the place.
@@ -136,6 +145,9 @@
 
 // carry returns the state of the VM, a fresh one if it is not known.
 func (t *Table) carry(machine vm.VM, port int, now time.Time, first bool) *State {
+	if machine.Port != 0 {
+		port = machine.Port
+	}
 	address := net.JoinHostPort(machine.Address, strconv.Itoa(port))
 	id := key{machine.Name, address}
 	if held, ok := t.known[id]; ok {
--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -40,7 +40,8 @@
 // Prefix starts the name of every page in the store.
 const Prefix = "account/"
 
-// PageCount is the number of pages over which accounts are spread.
+// PageCount is the number of pages over which the accounts of a large fleet are
+// spread. A small one takes fewer, since each page costs calls of its own.
 const PageCount = 256
 
 // MinGuards is the size of the smallest guard set that allows a reclaim.
@@ -70,9 +71,10 @@
 	Accounts map[string]Account `json:"accounts"`
 }
 
-// PageName returns the name of the object that holds the budget's account.
-func PageName(budget string) string {
-	return Prefix + strconv.FormatUint(xxhash.Sum64String(budget)%PageCount, 10)
+// PageName returns the name of the object that holds the budget's account, if
+// accounts are spread over so many pages. The number must never change.
+func PageName(budget string, pages int) string {
+	return Prefix + strconv.FormatUint(xxhash.Sum64String(budget)%uint64(pages), 10)
 }
 
 // Decode reads a page. An empty value is an empty page.
--- a/fleet/process/platform/call.go
+++ b/fleet/process/platform/call.go
@@ -1,18 +1,13 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"time"
 
-	"github.com/juju/errors"
-
+	"jacinthpaddle.example/fleet/process/exchange"
 	"jacinthpaddle.example/fleet/process/store"
 )
 
@@ -24,9 +19,6 @@
 	vmsPath    = "/vms"
 )
 
-// errTimeout ends a call that took too long.
-const errTimeout = errors.ConstError("timeout")
-
 // call is one call to the service.
 type call struct {
 	operation string
@@ -42,7 +34,7 @@
 
 // answer is a usable reply to a call. Get and writes need the version.
 type answer struct {
-	call       call
+	call       exchange.Call
 	status     int
 	tag        string
 	version    store.Version
@@ -85,64 +77,27 @@
 
 // do makes the call and returns its answer, or an UnavailableError.
 func (c *Client) do(ctx context.Context, request call) (answer, error) {
-	if c.config.Observe != nil {
-		c.config.Observe(request.operation)
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := c.clock.AfterFunc(request.timeout, func() { cancel(errTimeout) })
-	defer timer.Stop()
-
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
-	})
-	reply, err := c.exchange(ctx, request)
-	if err == nil {
-		return reply, nil
+	made := exchange.Call{
+		Operation: request.operation,
+		Name:      request.name,
+		Method:    request.method,
+		Path:      request.path,
+		Query:     request.query,
+		Header:    request.header,
+		Body:      request.body,
+		Timeout:   request.timeout,
+		Write:     request.write,
+		Usable:    func(status int) bool { return usable(request, status) },
 	}
-	cause := context.Cause(ctx)
-	if errors.Is(cause, errTimeout) {
-		c.transport.CloseIdleConnections()
-	}
-	if cause == nil {
-		cause = err
-	}
-	return answer{}, request.unavailable(connected && mayHaveTakenEffect(err), cause)
-}
-
-func (c *Client) exchange(ctx context.Context, request call) (answer, error) {
-	message, err := request.message(ctx, c.config.Address)
+	received, err := c.calls.Do(ctx, made)
 	if err != nil {
 		return answer{}, err
 	}
-	response, err := c.http.Do(message)
-	if err != nil {
-		return answer{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return answer{}, err
-	}
-	if !usable(request, response.StatusCode) {
-		return answer{}, &statusError{status: response.StatusCode}
-	}
-	reply := answer{call: request, status: response.StatusCode, tag: response.Header.Get("ETag"), body: body}
-	reply.version, reply.versionErr = parseVersion(response.Header.Get(VersionHeader))
+	reply := answer{call: made, status: received.Status, tag: received.Header.Get("ETag"), body: received.Body}
+	reply.version, reply.versionErr = parseVersion(received.Header.Get(VersionHeader))
 	return reply, nil
 }
 
-func (r call) message(ctx context.Context, address string) (*http.Request, error) {
-	target := url.URL{Scheme: "http", Host: address, Path: r.path, RawQuery: r.query.Encode()}
-	message, err := http.NewRequestWithContext(ctx, r.method, target.String(), bytes.NewReader(r.body))
-	if err != nil {
-		return nil, err
-	}
-	message.Header = r.header
-	return message, nil
-}
-
 // usable reports whether the status answers the call.
 func usable(request call, status int) bool {
 	switch status {
@@ -159,36 +114,6 @@
 	}
 }
 
-// mayHaveTakenEffect reports whether a write that got a connection and failed
-// with the error can have been carried out.
-func mayHaveTakenEffect(err error) bool {
-	var status *statusError
-	if errors.As(err, &status) {
-		return status.status >= http.StatusInternalServerError && status.status != http.StatusServiceUnavailable
-	}
-	var network *net.OpError
-	return !errors.As(err, &network) || network.Op != "dial"
-}
-
-func (r call) unavailable(ambiguous bool, cause error) error {
-	return &store.UnavailableError{
-		Operation: r.operation,
-		Name:      r.name,
-		Ambiguous: r.write && ambiguous,
-		Cause:     cause,
-	}
-}
-
 func (a answer) unusable(cause error) error {
-	return a.call.unavailable(true, cause)
-}
-
-// statusError is a status that does not answer the call.
-type statusError struct {
-	status int
-}
-
-// Error implements error.
-func (e *statusError) Error() string {
-	return "status " + http.StatusText(e.status)
+	return a.call.Unavailable(true, cause)
 }
--- a/fleet/process/platform/platform.go
+++ b/fleet/process/platform/platform.go
@@ -25,7 +25,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -35,6 +34,7 @@
 	"github.com/juju/errors"
 
 	"jacinthpaddle.example/fleet/process/clock"
+	"jacinthpaddle.example/fleet/process/exchange"
 	"jacinthpaddle.example/fleet/process/store"
 	"jacinthpaddle.example/fleet/process/vm"
 )
@@ -70,11 +70,9 @@
 // Client implements store.Store and vm.Lister. Its methods are safe for
 // concurrent use.
 type Client struct {
-	clock     clock.Clock
-	config    Config
-	transport *http.Transport
-	http      *http.Client
-	list      atomic.Pointer[taggedList]
+	config Config
+	calls  *exchange.Client
+	list   atomic.Pointer[taggedList]
 }
 
 // taggedList is the last list of VMs that was read, and its entity tag.
@@ -91,24 +89,18 @@
 // New returns a client. It connects when it is first used.
 func New(clk clock.Clock, config Config) *Client {
 	config = withDefaults(config)
-	dialer := &net.Dialer{Timeout: config.DialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     config.MaxConnections,
-		MaxIdleConnsPerHost: config.MaxConnections,
-		IdleConnTimeout:     config.IdleTimeout,
-	}
-	return &Client{
-		clock:     clk,
-		config:    config,
-		transport: transport,
-		http:      &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
-	}
+	return &Client{config: config, calls: exchange.New(clk, exchange.Config{
+		Address:        config.Address,
+		DialTimeout:    config.DialTimeout,
+		IdleTimeout:    config.IdleTimeout,
+		MaxConnections: config.MaxConnections,
+		Observe:        config.Observe,
+	})}
 }
 
 // Close closes the connections that are not in use.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.calls.Close()
 }
 
 func withDefaults(config Config) Config {
@@ -128,10 +120,6 @@
 	return value
 }
 
-func refuseRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // Get implements store.Store.
 func (c *Client) Get(ctx context.Context, name string) (store.Object, error) {
 	answer, err := c.do(ctx, c.read("get", name, objectPath+name))
--- a/fleet/process/rights/book.go
+++ b/fleet/process/rights/book.go
@@ -43,9 +43,10 @@
 // orders that follow.
 //
 // A view passed to Stored must be of a page no older than any page passed
-// before.
+// before. Window is the time constant of the demand estimates.
 type Book[S Sizer] struct {
 	Self     ident.Incarnation
+	Window   time.Duration
 	Sizer    S
 	Purses   *Purses
 	Peers    []ident.Incarnation
@@ -56,6 +57,7 @@
 func New[S Sizer](self ident.Incarnation, sizer S, purses *Purses) *Book[S] {
 	return &Book[S]{
 		Self:     self,
+		Window:   DemandWindow,
 		Sizer:    sizer,
 		Purses:   purses,
 		Holdings: make(map[string]*Holding),
@@ -66,7 +68,7 @@
 func (b *Book[S]) Holding(budget string) *Holding {
 	holding, ok := b.Holdings[budget]
 	if !ok {
-		holding = newHolding(budget, b.Purses.Get(budget))
+		holding = newHolding(budget, b.Purses.Get(budget), b.Window)
 		b.Holdings[budget] = holding
 	}
 	return holding
--- a/fleet/process/rights/demand.go
+++ b/fleet/process/rights/demand.go
@@ -5,31 +5,40 @@
 	"time"
 )
 
-// DemandWindow is the time constant of the demand estimate.
+// DemandWindow is the time constant of the demand estimate unless another is set.
 const DemandWindow = 2 * time.Minute
 
-// Demand estimates how fast a budget is used here, in credits a second. It
+// Demand estimates how fast a budget is used here, in credits a second, as a
+// moving average over the Window and no longer than it has been observed. It
 // sizes what is held and decides nothing on safety.
 type Demand struct {
-	Rate  float64   `json:"rate"`
-	Seen  int64     `json:"seen"`
-	Since time.Time `json:"since"`
+	Window time.Duration `json:"window"`
+	Rate   float64       `json:"rate"`
+	Seen   int64         `json:"seen"`
+	Begun  time.Time     `json:"begun"`
+	Since  time.Time     `json:"since"`
 }
 
 // Observe takes the monotone total of what was spent and refused so far.
 func (d *Demand) Observe(total int64, now time.Time) {
 	if d.Since.IsZero() {
+		d.Begun = now
 		d.Since = now
 		d.Seen = total
 		return
 	}
-	elapsed := now.Sub(d.Since).Seconds()
+	elapsed := now.Sub(d.Since)
 	if elapsed <= 0 {
 		return
 	}
-	weight := 1 - math.Exp(-elapsed/DemandWindow.Seconds())
-	recent := float64(total-d.Seen) / elapsed
+	weight := d.faded(elapsed) / d.faded(now.Sub(d.Begun))
+	recent := float64(total-d.Seen) / elapsed.Seconds()
 	d.Rate += weight * (recent - d.Rate)
 	d.Seen = total
 	d.Since = now
 }
+
+// faded returns by how much an average over the window forgets in the time.
+func (d *Demand) faded(elapsed time.Duration) float64 {
+	return 1 - math.Exp(-elapsed.Seconds()/d.Window.Seconds())
+}
--- a/fleet/process/rights/holding.go
+++ b/fleet/process/rights/holding.go
@@ -77,11 +77,12 @@
 	Frozen    map[ident.Incarnation]bool     `json:"frozen"`
 }
 
-func newHolding(budget string, purse *Purse) *Holding {
+func newHolding(budget string, purse *Purse, window time.Duration) *Holding {
 	return &Holding{
 		Budget:    budget,
 		Purse:     purse,
 		Remaining: unknownRemaining,
+		Demand:    Demand{Window: window},
 		Peers:     make(map[ident.Incarnation]Exchange),
 		Sets:      []GuardSet{{}},
 		Acked:     make(map[ident.Incarnation]int64),
--- a/fleet/process/rights/sizing.go
+++ b/fleet/process/rights/sizing.go
@@ -99,12 +99,14 @@
 
 // DemandShrinking keeps enough for the recent demand to go on for the horizon,
 // but never more than Share times an equal part of what remains. Holders is the
-// least number of holders to expect. Peers guard what is not ready to spend.
+// least number of holders to expect. Peers guard what is not ready to spend,
+// unless it is Unguarded.
 type DemandShrinking struct {
-	Horizon time.Duration
-	Ready   time.Duration
-	Share   float64
-	Holders int
+	Horizon   time.Duration
+	Ready     time.Duration
+	Share     float64
+	Holders   int
+	Unguarded bool
 }
 
 // NewDemandShrinking returns the policy of the routers for a fleet in which a
@@ -142,8 +144,8 @@
 }
 
 // Guarded implements Sizer.
-func (DemandShrinking) Guarded() bool {
-	return true
+func (d DemandShrinking) Guarded() bool {
+	return !d.Unguarded
 }
 
 func (d DemandShrinking) part(s Situation, remaining int64) int64 {
--- a/fleet/process/vm/vm.go
+++ b/fleet/process/vm/vm.go
@@ -6,7 +6,10 @@
 //	entries := vm.InPool(list, "entry")
 package vm
 
-import "context"
+import (
+	"context"
+	"slices"
+)
 
 // State is the platform's word on a VM.
 type State string
@@ -23,10 +26,12 @@
 	AvailabilityZone string `json:"availability_zone" cbor:"availability_zone"`
 }
 
-// VM is one machine of the platform's list. Address is an IP number.
+// VM is one machine of the platform's list. Address is an IP number. Port is
+// zero where the port of the pool holds.
 type VM struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
+	Port    int    `json:"port,omitempty"`
 	Pool    string `json:"pool"`
 	Place
 	State State `json:"state"`
@@ -48,6 +53,21 @@
 	return members
 }
 
+// Kept returns the list with the VMs of an earlier one that are missing from it.
+func Kept(list, earlier []VM) []VM {
+	listed := make(map[string]bool, len(list))
+	for _, machine := range list {
+		listed[machine.Name] = true
+	}
+	kept := slices.Clone(list)
+	for _, machine := range earlier {
+		if !listed[machine.Name] {
+			kept = append(kept, machine)
+		}
+	}
+	return kept
+}
+
 // Distance grades how far two places lie apart.
 type Distance int
 
--- a/fleet/request/admit/admit.go
+++ b/fleet/request/admit/admit.go
@@ -39,6 +39,19 @@
 	MaxOutput   int64
 	Timeout     time.Duration
 	Stall       time.Duration
+
+	// EndsWithCaller ends the request when its caller goes, also if it may not be
+	// repeated.
+	EndsWithCaller bool
+	// Attempts bounds the endpoints that may have begun the request, zero being
+	// the retry policy's own bound.
+	Attempts int
+	// Resumable streams may go on at another endpoint.
+	Resumable bool
+	// TokensPerEvent is how many output tokens one event holds at most.
+	TokensPerEvent int64
+	// Priority of the request, zero being first.
+	Priority int
 }
 
 // Size is what bounds the cost of a chat completion. MaxOutput is in tokens;
--- a/fleet/request/choose/picker.go
+++ b/fleet/request/choose/picker.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jacinthpaddle.example/fleet/connection/endpoint"
 	"jacinthpaddle.example/fleet/process/random"
 	"jacinthpaddle.example/fleet/process/vm"
@@ -24,6 +26,9 @@
 	DefaultSlots int
 	// PrefixBound bounds the prefixes that are remembered.
 	PrefixBound int
+	// PrefixSlack is the load up to which an endpoint is preferred for its prefix
+	// cache whatever the others' load.
+	PrefixSlack float64
 	// PrefixYield is how far above the choice's load, as a factor, an endpoint
 	// may be loaded to be preferred for its prefix cache.
 	PrefixYield float64
@@ -42,6 +47,7 @@
 		ReportMaxAge: 5 * time.Second,
 		DefaultSlots: 8,
 		PrefixBound:  4096,
+		PrefixSlack:  0.25,
 		PrefixYield:  2,
 		SlowStart:    10 * time.Second,
 		Ejection:     EjectionDefaults(),
@@ -195,22 +201,43 @@
 // it is loaded too far above the choice that would be made without.
 func (p *Picker) prefer(candidates []Candidate[*endpoint.State], prefix uint64) int {
 	index := Cheapest(p.policy, candidates)
-	holder, ok := p.holder(prefix)
-	if !ok {
+	if prefix == 0 {
 		return index
 	}
-	held := slices.IndexFunc(candidates, func(c Candidate[*endpoint.State]) bool { return c.Target == holder })
-	if held < 0 || candidates[held].Cost() > p.config.PrefixYield*candidates[index].Cost() {
+	held := p.holder(candidates, prefix)
+	if candidates[held].Load > p.config.PrefixSlack &&
+		candidates[held].Cost() > p.config.PrefixYield*candidates[index].Cost() {
 		return index
 	}
 	return held
 }
 
-func (p *Picker) holder(prefix uint64) (*endpoint.State, bool) {
-	if prefix == 0 {
-		return nil, false
+// holder returns the index of the endpoint that was last chosen for the prefix.
+// Without one it is an endpoint of the region that all routers there agree on.
+func (p *Picker) holder(candidates []Candidate[*endpoint.State], prefix uint64) int {
+	last, ok := p.affinity.Get(prefix)
+	best := 0
+	var rank uint64
+	for index, candidate := range candidates {
+		if ok && candidate.Target == last {
+			return index
+		}
+		if candidate.Price >= p.config.RemotePrice && candidates[0].Price < p.config.RemotePrice {
+			continue
+		}
+		if score := rendezvous(prefix, candidate.Target.VM.Name); index == 0 || score > rank {
+			best, rank = index, score
+		}
 	}
-	return p.affinity.Get(prefix)
+	return best
+}
+
+// rendezvous ranks an endpoint for a prefix, in the same way in every process.
+func rendezvous(prefix uint64, name string) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(prefix)
+	_, _ = digest.WriteString(name)
+	return digest.Sum64()
 }
 
 func (p *Picker) remember(prefix uint64, state *endpoint.State) {
--- a/fleet/request/choose/picker_test.go
+++ b/fleet/request/choose/picker_test.go
@@ -230,8 +230,8 @@
 		{"answered", &endpoint.Answer{Status: 200}, nil, choose.Success},
 		{"caller's mistake", &endpoint.Answer{Status: 400}, nil, choose.Success},
 		{"error", &endpoint.Answer{Status: 500}, nil, choose.Failure},
-		{"refused", &endpoint.Answer{Status: 503, Run: journal.NotRun}, nil, choose.Neutral},
-		{"leaving", &endpoint.Answer{Status: 503, Leaving: true}, nil, choose.Neutral},
+		{"refused", &endpoint.Answer{Status: 503, Signs: endpoint.Signs{Run: journal.NotRun}}, nil, choose.Neutral},
+		{"leaving", &endpoint.Answer{Status: 503, Signs: endpoint.Signs{Leaving: true}}, nil, choose.Neutral},
 		{"silent", nil, &endpoint.CallError{Silent: true}, choose.Failure},
 		{"caller gave up", nil, &endpoint.CallError{Canceled: true}, choose.Neutral},
 	}
--- a/fleet/request/retry/budget.go
+++ b/fleet/request/retry/budget.go
@@ -25,6 +25,24 @@
 	Burst float64
 }
 
+// Shares of what a whole fleet may retry beyond the share of requests in one
+// window. A fifth is left for a fleet that grows before its routers know.
+const (
+	steadyShare = 0.5
+	burstShare  = 0.3
+)
+
+// FleetBudget returns the settings of one of so many processes that together may
+// make the share of the requests, and slack more in any window, as retries.
+func FleetBudget(share, slack float64, window time.Duration, processes int) BudgetConfig {
+	each := slack / float64(max(1, processes))
+	return BudgetConfig{
+		Share:          share,
+		FloorPerSecond: steadyShare * each / window.Seconds(),
+		Burst:          max(1, burstShare*each),
+	}
+}
+
 // BudgetDefaults returns the settings for one pool in one process.
 func BudgetDefaults() BudgetConfig {
 	return BudgetConfig{Share: 0.1, FloorPerSecond: 0.1, Burst: 5}
@@ -55,6 +73,14 @@
 	return true
 }
 
+// SetConfig changes the size. What was saved up is cut to it.
+func (b *Budget) SetConfig(config BudgetConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config = config
+	b.tokens = min(b.tokens, config.Burst)
+}
+
 func (b *Budget) fill(now time.Time) {
 	passed := now.Sub(b.filled).Seconds()
 	if passed <= 0 {
--- a/fleet/request/retry/retry.go
+++ b/fleet/request/retry/retry.go
@@ -47,7 +47,8 @@
 // Failure describes a failed attempt and the request it belonged to. Said is
 // the endpoint's own word, or empty. Prior is what is known of the earlier
 // attempts together: empty or NotRun if none of them ran. Attempts counts this
-// one too.
+// one too. Begun counts the earlier attempts that may have run, and MaxBegun,
+// unless it is zero, bounds them.
 type Failure struct {
 	Idempotent bool
 	Moment     endpoint.Moment
@@ -55,11 +56,15 @@
 	Said       journal.Run
 	Prior      journal.Run
 	Attempts   int
+	Begun      int
+	MaxBegun   int
 	Deadline   time.Time
 }
 
-// Decision is what to do next. Run is what is known of all attempts together.
+// Decision is what to do next. Run is what is known of all attempts together,
+// and Begun how many of them may have run.
 type Decision struct {
+	Begun  int         `json:"begun"`
 	Action Action      `json:"action"`
 	Run    journal.Run `json:"run"`
 	Reason Reason      `json:"reason,omitempty"`
@@ -87,12 +92,16 @@
 // Decide returns whether to try again. The caller still has to take the retry
 // from a Budget.
 func (p Policy) Decide(failure Failure, now time.Time) Decision {
-	run := join(failure.Prior, attempt(failure.Moment, failure.Said))
-	reason := p.objection(failure, run, now)
-	if reason != Allowed {
-		return Decision{Action: Fail, Run: run, Reason: reason}
+	own := attempt(failure.Moment, failure.Said)
+	if own != journal.NotRun {
+		failure.Begun++
 	}
-	return Decision{Action: Again, Run: run}
+	decision := Decision{Action: Again, Run: join(failure.Prior, own), Begun: failure.Begun}
+	decision.Reason = p.objection(failure, decision.Run, now)
+	if decision.Reason != Allowed {
+		decision.Action = Fail
+	}
+	return decision
 }
 
 func (p Policy) objection(failure Failure, run journal.Run, now time.Time) Reason {
@@ -103,6 +112,8 @@
 		return MayHaveRun
 	case failure.Attempts >= p.MaxAttempts:
 		return TooMany
+	case failure.MaxBegun > 0 && failure.Begun >= failure.MaxBegun:
+		return TooMany
 	case !failure.Deadline.IsZero() && !now.Before(failure.Deadline):
 		return PastDeadline
 	default:
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/juju/errors"
@@ -39,44 +40,66 @@
 	return e.Cause
 }
 
+// trial is the state of a request between its attempts.
+type trial struct {
+	job     Job
+	run     journal.Run
+	tried   []*endpoint.State
+	begun   int
+	arrived bool
+	last    Relayed
+	failure *Result
+}
+
 // attempts tries the request at one endpoint after the other, as far as the
 // retry policy allows.
 func (r *Runner) attempts(ctx context.Context, job Job, sink Sink) Relayed {
-	r.Budget.Request(r.Clock.Now())
-	run := journal.NotRun
-	var tried []*endpoint.State
-	var last Relayed
+	budget := r.Budgets.Of(job.Plan.Pool.Name)
+	budget.Request(r.Clock.Now())
+	trial := &trial{job: job, run: journal.NotRun}
 	for {
-		state, err := r.pick(job, tried)
+		state, err := r.pick(job, trial.tried)
 		if err != nil {
-			return r.failed(job, run, last, err)
+			return r.failed(trial, err)
 		}
-		tried = append(tried, state)
+		trial.tried = append(trial.tried, state)
 		done, failure := r.attempt(ctx, job, state, sink)
 		if done.Err == nil {
 			return done
 		}
-		last = done
-		decision := r.decide(ctx, job, failure, run, len(tried))
-		run = decision.Run
-		if decision.Action == retry.Fail || !r.Budget.Take(r.Clock.Now()) || !r.pause(ctx, len(tried)) {
-			return r.failed(job, run, last, nil)
+		if !r.again(ctx, trial, done, failure) {
+			return r.failed(trial, nil)
+		}
+		if trial.arrived && !budget.Take(r.Clock.Now()) || !r.pause(ctx, len(trial.tried)) {
+			return r.failed(trial, nil)
 		}
 		r.Metrics.Retries.Add(ctx, 1)
 	}
 }
 
-func (r *Runner) decide(ctx context.Context, job Job, failure failure, prior journal.Run, attempts int) retry.Decision {
+// again notes a failed attempt and reports whether another may follow.
+func (r *Runner) again(ctx context.Context, trial *trial, done Relayed, failure failure) bool {
+	trial.last = done
+	if done.Failure != nil {
+		trial.failure = done.Failure
+	}
 	deadline, _ := ctx.Deadline()
-	return r.Policy.Decide(retry.Failure{
-		Idempotent: job.Plan.Idempotent,
+	decision := r.Policy.Decide(retry.Failure{
+		Idempotent: trial.job.Plan.Idempotent,
 		Moment:     failure.moment,
-		PassedOn:   failure.passed,
+		PassedOn:   failure.passed && !trial.job.Plan.Resumable,
 		Said:       failure.said,
-		Prior:      prior,
-		Attempts:   attempts,
+		Prior:      trial.run,
+		Attempts:   len(trial.tried),
+		Begun:      trial.begun,
+		MaxBegun:   trial.job.Plan.Attempts,
 		Deadline:   deadline,
 	}, r.Clock.Now())
+	trial.run = decision.Run
+	trial.begun = decision.Begun
+	trial.arrived = trial.arrived || failure.moment.Arrived()
+	var gone *CallerGoneError
+	return decision.Action == retry.Again && ctx.Err() == nil && !errors.As(done.Err, &gone)
 }
 
 // pause waits before the next attempt, or returns false if the context ends.
@@ -95,12 +118,7 @@
 func (r *Runner) attempt(ctx context.Context, job Job, state *endpoint.State, sink Sink) (Relayed, failure) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	name := ident.NewAttempt()
-	call := job.Call
-	call.Header = call.Header.Clone()
-	call.Header.Set(RequestHeader, string(job.Request))
-	call.Header.Set(AttemptHeader, string(name))
-
+	call := r.call(ctx, job, state)
 	answer, err := state.Do(ctx, call)
 	if err != nil {
 		r.release(job, state, choose.Judge(nil, err))
@@ -108,9 +126,9 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	failed := failure{moment: endpoint.AfterHeaders, said: answer.Run}
-	if err := r.checkAnswer(answer, name, state.VM.Name); err != nil {
+	if err := r.checkAnswer(answer, call.Mark); err != nil {
 		r.release(job, state, judgeRefused(answer, err))
-		return Relayed{Err: err}, failed
+		return Relayed{Err: err, Failure: ownFailure(job, answer)}, failed
 	}
 	done := job.Relay.Relay(ctx, job.Plan, answer, sink)
 	r.release(job, state, judgeRelayed(answer, done.Err))
@@ -122,6 +140,44 @@
 	return done, failed
 }
 
+// call returns the message of one attempt at the endpoint.
+func (r *Runner) call(ctx context.Context, job Job, state *endpoint.State) endpoint.Call {
+	call := job.Call
+	call.Header = call.Header.Clone()
+	if resumer, ok := job.Relay.(Resumer); ok {
+		resumer.Resume(call.Header)
+	}
+	call.Mark = endpoint.Mark{
+		Request:  job.Request,
+		Attempt:  job.Attempt,
+		Endpoint: state.VM.Name,
+		Team:     job.Plan.Team.Name,
+	}
+	if job.Attempt == "" {
+		call.Mark.Attempt = ident.NewAttempt()
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		call.Mark.Left = deadline.Sub(r.Clock.Now())
+	}
+	return call
+}
+
+// ownFailure reads the whole failure of an endpoint that ran the request, or
+// returns nil if there is none to pass on.
+func ownFailure(job Job, answer *endpoint.Answer) *Result {
+	if !job.PassFailures || answer.Run == journal.NotRun {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxFailureBytes+1))
+	if err != nil || len(body) > MaxFailureBytes {
+		return nil
+	}
+	return &Result{Status: answer.Status, Header: answer.Header, Body: body}
+}
+
+// MaxFailureBytes bounds a failure of an endpoint that is passed on.
+const MaxFailureBytes = 1 << 20
+
 // saidOf returns what is known of the run from an answer that was not whole.
 func saidOf(err error, word journal.Run) journal.Run {
 	if typed := asOutcome(err); typed != nil {
@@ -134,7 +190,7 @@
 type CrossedError struct {
 	Endpoint string
 	Want     ident.Attempt
-	Got      string
+	Got      ident.Attempt
 }
 
 // Error implements error.
@@ -155,25 +211,30 @@
 
 // checkAnswer refuses the answer of another attempt, and refusals of the
 // endpoint that are worth another attempt.
-func (r *Runner) checkAnswer(answer *endpoint.Answer, want ident.Attempt, name string) error {
-	got := answer.Header.Get(AttemptHeader)
-	if got != "" && got != string(want) {
+func (r *Runner) checkAnswer(answer *endpoint.Answer, mark endpoint.Mark) error {
+	if answer.Attempt != "" && answer.Attempt != mark.Attempt {
 		r.Metrics.FramesDropped.Add(context.Background(), 1)
-		r.Log.Emit(event.FrameDropped, event.Text("endpoint", name), event.Text("attempt", want))
-		return &CrossedError{Endpoint: name, Want: want, Got: got}
+		r.Log.Emit(event.FrameDropped, event.Text("endpoint", mark.Endpoint), event.Text("attempt", mark.Attempt))
+		return &CrossedError{Endpoint: mark.Endpoint, Want: mark.Attempt, Got: answer.Attempt}
 	}
 	if answer.Run == journal.NotRun || answer.Status >= http.StatusInternalServerError {
-		return &RefusedError{Endpoint: name, Status: answer.Status}
+		return &RefusedError{Endpoint: mark.Endpoint, Status: answer.Status}
 	}
 	return nil
 }
 
 // failed types the end of a request whose attempts are over. Refusal is set if
-// no endpoint could be chosen.
-func (r *Runner) failed(job Job, run journal.Run, last Relayed, refusal error) Relayed {
+// no endpoint could be chosen. An endpoint's own failure is passed on where the
+// job asks for that.
+func (r *Runner) failed(trial *trial, refusal error) Relayed {
+	last := trial.last
 	if last.Err == nil {
 		return Relayed{Err: refusal}
 	}
+	last.Charge = chargeOf(trial.job.Plan, trial.run, last.Charge)
+	if trial.failure != nil && !last.Passed {
+		return Relayed{Result: *trial.failure, Charge: last.Charge}
+	}
 	ended := outcome.Error{
 		Code:   codeOf(last.Err),
 		Object: "endpoint",
@@ -183,14 +244,13 @@
 	if typed := asOutcome(last.Err); typed != nil {
 		ended = *typed
 	}
-	if run == journal.NotRun && full(last.Err) {
+	if trial.run == journal.NotRun && full(last.Err) {
 		ended.Code = outcome.Overloaded
 	}
-	ended.Run = run
+	ended.Run = trial.run
 	last.Err = &ended
-	last.Charge = chargeOf(job.Plan, run, last.Charge)
-	r.Log.Emit(event.RequestFailed, event.Text("request", job.Request),
-		event.Text("code", ended.Code), event.Text("run", run), event.Cause(&ended))
+	r.Log.Emit(event.RequestFailed, event.Text("request", trial.job.Request),
+		event.Text("code", ended.Code), event.Text("run", trial.run), event.Cause(&ended))
 	return last
 }
 
--- a/fleet/request/serve/serve.go
+++ b/fleet/request/serve/serve.go
@@ -30,12 +30,6 @@
 	"jacinthpaddle.example/fleet/request/retry"
 )
 
-// Headers between a router and an endpoint.
-const (
-	RequestHeader = "X-Request-Id"
-	AttemptHeader = "X-Attempt-Id"
-)
-
 // Wallet sets credits aside.
 type Wallet interface {
 	// Reserve returns the purse to settle with, or false without enough credits.
@@ -53,6 +47,8 @@
 
 // Sink takes the answer for the caller.
 type Sink interface {
+	// Begin passes on the head of an answer whose parts follow.
+	Begin(status int, header http.Header) error
 	// Part passes on a part of a streamed answer.
 	Part(part []byte) error
 	// End passes on the end of the answer, or the whole of one that was not
@@ -71,12 +67,14 @@
 }
 
 // Relayed is what came of relaying one answer. Passed says that a part of it
-// has reached the caller.
+// has reached the caller. Failure is the endpoint's own whole answer if that is
+// a failure.
 type Relayed struct {
-	Result Result
-	Passed bool
-	Charge int64
-	Err    error
+	Result  Result
+	Passed  bool
+	Charge  int64
+	Err     error
+	Failure *Result
 }
 
 // Relay reads the answer of one attempt and passes on its parts.
@@ -84,14 +82,25 @@
 	Relay(ctx context.Context, plan admit.Plan, answer *endpoint.Answer, sink Sink) Relayed
 }
 
+// Resumer is a Relay whose answer can go on at another endpoint.
+type Resumer interface {
+	Relay
+	// Resume adds to a call's header where the answer is to go on.
+	Resume(header http.Header)
+}
+
 // Job is an admitted request. Requests with the same Prefix, unless it is zero,
-// are best served by the endpoint that has their prompt prefix cached.
+// are best served by the endpoint that has their prompt prefix cached. Attempt,
+// unless it is empty, names all attempts. PassFailures has an endpoint's own
+// failure passed on as it is.
 type Job struct {
-	Request ident.Request
-	Plan    admit.Plan
-	Prefix  uint64
-	Call    endpoint.Call
-	Relay   Relay
+	Request      ident.Request
+	Attempt      ident.Attempt
+	Plan         admit.Plan
+	Prefix       uint64
+	Call         endpoint.Call
+	Relay        Relay
+	PassFailures bool
 }
 
 // Limits bound the waits of a request.
@@ -113,7 +122,7 @@
 	Slots     *Slots
 	Picker    *choose.Picker
 	Policy    retry.Policy
-	Budget    *retry.Budget
+	Budgets   *retry.Budgets
 	Limits    Limits
 }
 
@@ -121,7 +130,7 @@
 // when the caller has gone.
 func (r *Runner) Run(ctx context.Context, job Job, sink Sink) error {
 	sink = &timed{Sink: sink, runner: r, started: r.Clock.Now()}
-	if !job.Plan.Idempotent {
+	if !job.Plan.Idempotent && !job.Plan.EndsWithCaller {
 		// Work that may not be repeated goes on when its caller has gone.
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -132,23 +141,33 @@
 		return err
 	}
 	defer release()
+	done := r.billed(ctx, job, sink)
+	if done.Err != nil {
+		return done.Err
+	}
+	r.Metrics.Credits.Add(ctx, done.Charge)
+	done.Result.Request = job.Request
+	return sink.End(done.Result)
+}
+
+// billed runs the request between its reservation and its bill. One that can
+// cost nothing has neither.
+func (r *Runner) billed(ctx context.Context, job Job, sink Sink) Relayed {
+	if job.Plan.Reserve == 0 {
+		return r.attempts(ctx, job, sink)
+	}
 	purse, err := r.reserve(ctx, job)
 	if err != nil {
-		return err
+		return Relayed{Err: err}
 	}
 	if err := r.open(ctx, job); err != nil {
 		purse.Settle(job.Plan.Reserve, 0)
-		return err
+		return Relayed{Err: err}
 	}
 	done := r.attempts(ctx, job, sink)
 	purse.Settle(job.Plan.Reserve, done.Charge)
 	r.close(ctx, job, done)
-	if done.Err != nil {
-		return done.Err
-	}
-	r.Metrics.Credits.Add(ctx, done.Charge)
-	done.Result.Request = job.Request
-	return sink.End(done.Result)
+	return done
 }
 
 func (r *Runner) reserve(ctx context.Context, job Job) (*rights.Purse, error) {
--- a/fleet/request/serve/serve_test.go
+++ b/fleet/request/serve/serve_test.go
@@ -60,9 +60,16 @@
 
 // sink keeps what was passed on.
 type sink struct {
-	gone  bool
-	parts []string
-	ended bool
+	gone   bool
+	status int
+	parts  []string
+	ended  bool
+	result serve.Result
+}
+
+func (s *sink) Begin(status int, _ http.Header) error {
+	s.status = status
+	return nil
 }
 
 func (s *sink) Part(part []byte) error {
@@ -73,8 +80,9 @@
 	return nil
 }
 
-func (s *sink) End(serve.Result) error {
+func (s *sink) End(result serve.Result) error {
 	s.ended = true
+	s.result = result
 	return nil
 }
 
@@ -120,7 +128,7 @@
 		Slots:     serve.NewSlots(clock.New(), table, time.Minute),
 		Picker:    choose.New(choose.Defaults(vm.Place{}), source),
 		Policy:    retry.Policy{MaxAttempts: 2, BaseBackoff: time.Nanosecond, MaxBackoff: time.Nanosecond},
-		Budget:    retry.NewBudget(retry.BudgetDefaults(), time.Now()),
+		Budgets:   retry.NewBudgets(retry.BudgetDefaults(), clock.New()),
 		Limits:    serve.Limits{Search: time.Minute, Open: time.Minute, Final: time.Minute},
 	}
 	return made
@@ -241,7 +249,7 @@
 			w.WriteHeader(503)
 		}, 2, journal.NotRun, 0},
 		{"answer for another attempt", func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(serve.AttemptHeader, "another")
+			w.Header().Set(endpoint.AttemptHeader, "another")
 			_, _ = io.WriteString(w, "somebody else's")
 		}, 1, journal.Unknown, 100},
 	}
--- a/fleet/request/serve/timed.go
+++ b/fleet/request/serve/timed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 )
 
@@ -13,6 +14,12 @@
 	begun   bool
 }
 
+// Begin implements Sink.
+func (t *timed) Begin(status int, header http.Header) error {
+	t.begin()
+	return t.Sink.Begin(status, header)
+}
+
 // Part implements Sink.
 func (t *timed) Part(part []byte) error {
 	t.begin()
--- a/fleet/version/declare/check.go
+++ b/fleet/version/declare/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -91,6 +92,54 @@
 	for _, pool := range c.set.Pools {
 		c.pool(pool)
 	}
+	c.paths()
+}
+
+// CheckPaths returns what is wrong with the paths of a set, sorted.
+func CheckPaths(set Set) []Fault {
+	checker := newChecker(set)
+	checker.paths()
+	return sortFaults(checker.faults)
+}
+
+func (c *checker) paths() {
+	for _, path := range c.set.Paths {
+		c.path(path)
+	}
+}
+
+func (c *checker) path(path Path) {
+	at := Fault{Object: "path", Name: path.Name}
+	if !slices.Contains([]PathKind{SafePath, UnsafePath, StreamPath}, path.Kind) {
+		c.add(at.at("kind"), "%q is not %s, %s or %s", path.Kind, SafePath, UnsafePath, StreamPath)
+	}
+	if path.Host == "" {
+		c.add(at.at("host"), "missing")
+	}
+	if !strings.HasPrefix(path.Prefix, "/") || !strings.HasSuffix(path.Prefix, "/") {
+		c.add(at.at("prefix"), "%q does not begin and end with a slash", path.Prefix)
+	}
+	c.timeout(at.at("timeout"), path.Timeout, MaxTimeout)
+	c.within(at.at("attempts"), int64(path.Attempts), MaxCount)
+	c.backends(path)
+}
+
+// backends refuses a path that leads nowhere.
+func (c *checker) backends(path Path) {
+	at := Fault{Object: "path", Name: path.Name, Field: "backends"}
+	total := 0
+	for _, backend := range path.Backends {
+		if backend.Weight < 0 {
+			c.add(at, "the weight of %s is negative", backend.Pool)
+		}
+		if !slices.ContainsFunc(c.set.Pools, func(p Pool) bool { return p.Name == backend.Pool }) {
+			c.add(at, "pool %s is not declared", backend.Pool)
+		}
+		total += backend.Weight
+	}
+	if total == 0 {
+		c.add(at, "no pool has a weight")
+	}
 }
 
 func (c *checker) team(team Team) {
--- a/fleet/version/declare/declare.go
+++ b/fleet/version/declare/declare.go
@@ -17,6 +17,7 @@
 	Services []Service `json:"services"`
 	Routes   []Route   `json:"routes"`
 	Pools    []Pool    `json:"pools"`
+	Paths    []Path    `json:"paths,omitempty"`
 	Retired  []Budget  `json:"retired,omitempty"`
 }
 
@@ -89,11 +90,54 @@
 
 // Pool names VMs of the platform's list. Port is the TCP port that they serve
 // on. MaxInFlight bounds the requests that one router has open at one VM.
+// TokensPerEvent is how many output tokens one event of a stream holds at most.
 type Pool struct {
-	Name        string   `json:"name"`
-	Kind        PoolKind `json:"kind"`
-	Port        int      `json:"port"`
-	MaxInFlight int      `json:"max_in_flight"`
+	Name           string   `json:"name"`
+	Kind           PoolKind `json:"kind"`
+	Port           int      `json:"port"`
+	MaxInFlight    int      `json:"max_in_flight"`
+	TokensPerEvent int64    `json:"tokens_per_event,omitempty"`
+}
+
+// PathKind tells what may be repeated of the requests of a path.
+type PathKind string
+
+// Kinds of paths. A stream may be repeated only where it can be resumed.
+const (
+	SafePath   PathKind = "safe"
+	UnsafePath PathKind = "unsafe"
+	StreamPath PathKind = "stream"
+)
+
+// Path lets callers reach pools by host and path prefix, and passes requests and
+// answers on as they are. Attempts bounds the endpoints to which one request is
+// sent, MaxGap is the longest pause between two events of a stream, and Goal the
+// time to the first byte that callers expect. Priority zero comes first. A public
+// path needs no key.
+type Path struct {
+	Name      string        `json:"name"`
+	Host      string        `json:"host"`
+	Prefix    string        `json:"prefix"`
+	Kind      PathKind      `json:"kind"`
+	Backends  []Backend     `json:"backends"`
+	Timeout   time.Duration `json:"timeout"`
+	Goal      time.Duration `json:"goal"`
+	MaxGap    time.Duration `json:"max_gap,omitempty"`
+	Attempts  int           `json:"attempts"`
+	Priority  int           `json:"priority"`
+	Public    bool          `json:"public,omitempty"`
+	Resumable bool          `json:"resumable,omitempty"`
+}
+
+// Backend is one pool of a path, with its share of the requests by weight.
+type Backend struct {
+	Pool   string `json:"pool"`
+	Weight int    `json:"weight"`
+}
+
+// Idempotent reports whether requests of the path may run more than once.
+func (p Path) Idempotent() bool {
+	return p.Kind == SafePath || p.Kind == StreamPath && p.Resumable
 }
 
 // Fault is one reason to refuse a set.
--- a/fleet/version/snapshot/snapshot.go
+++ b/fleet/version/snapshot/snapshot.go
@@ -11,6 +11,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strings"
 
 	"jacinthpaddle.example/fleet/version/declare"
 )
@@ -26,6 +27,7 @@
 	services map[string]declare.Service
 	routes   map[string]declare.Route
 	pools    map[string]declare.Pool
+	paths    map[string]map[string]declare.Path
 }
 
 // New compiles a set that has been checked.
@@ -39,6 +41,7 @@
 		services:   make(map[string]declare.Service),
 		routes:     make(map[string]declare.Route),
 		pools:      make(map[string]declare.Pool),
+		paths:      make(map[string]map[string]declare.Path),
 	}
 	view.index()
 	return view
@@ -65,6 +68,12 @@
 	for _, pool := range s.Set.Pools {
 		s.pools[pool.Name] = pool
 	}
+	for _, path := range s.Set.Paths {
+		if s.paths[path.Host] == nil {
+			s.paths[path.Host] = make(map[string]declare.Path)
+		}
+		s.paths[path.Host][path.Prefix] = path
+	}
 }
 
 // KeyDigest returns the form in which a caller's key is kept.
@@ -115,3 +124,15 @@
 	}
 	return route, true
 }
+
+// Path returns the path of the host with the longest prefix of the target, the
+// path of a request. Prefixes begin and end with a slash.
+func (s *Snapshot) Path(host, target string) (declare.Path, bool) {
+	prefixes := s.paths[host]
+	for end := strings.LastIndexByte(target, '/'); end >= 0; end = strings.LastIndexByte(target[:end], '/') {
+		if path, ok := prefixes[target[:end+1]]; ok {
+			return path, true
+		}
+	}
+	return declare.Path{}, false
+}
--- a/jacinth/request/audit/audit_test.go
+++ b/jacinth/request/audit/audit_test.go
@@ -75,7 +75,7 @@
 	page := account.Page{Accounts: map[string]account.Account{
 		"hall": {Holders: map[ident.Incarnation]account.Holder{"a": holder}},
 	}}
-	create(t, objects, account.PageName("hall"), page)
+	create(t, objects, account.PageName("hall", account.PageCount), page)
 	segment := journal.Segment{Incarnation: "a", Entries: entries}
 	create(t, objects, segment.Name(), segment)
 	create(t, objects, segment.CopyName("b"), journal.Segment{Incarnation: "a", Entries: entries[:1]})
--- a/router/process/node/journal.go
+++ b/router/process/node/journal.go
@@ -21,11 +21,13 @@
 // Recorder records the charges of requests. It is safe for concurrent use.
 type Recorder struct {
 	thread *Thread
+	wait   bool
 }
 
-// NewRecorder returns the recorder whose entries the thread keeps.
-func NewRecorder(thread *Thread) *Recorder {
-	return &Recorder{thread: thread}
+// NewRecorder returns the recorder whose entries the thread keeps. Without wait
+// entries are not waited for: the rights of a process bound what is lost with it.
+func NewRecorder(thread *Thread, wait bool) *Recorder {
+	return &Recorder{thread: thread, wait: wait}
 }
 
 // Open records a request before it is dispatched. It returns nil once the entry
@@ -42,7 +44,10 @@
 
 func (r *Recorder) record(ctx context.Context, entry journal.Entry, refusable bool) error {
 	done := make(chan error, 1)
-	r.thread.Tell(Record{Entry: entry, Refusable: refusable, Done: done})
+	r.thread.Tell(Record{Entry: entry, Refusable: refusable && r.wait, Done: done})
+	if !r.wait {
+		return nil
+	}
 	select {
 	case err := <-done:
 		return err
--- a/router/process/node/leave.go
+++ b/router/process/node/leave.go
@@ -17,6 +17,7 @@
 // progress, gives back its rights and stores its journal.
 func (n *Node) leave() {
 	n.Log.Emit(event.Draining)
+	n.leaving.Store(true)
 	n.thread.Tell(Depart{})
 	n.wait(n.Settings.Locate.TTL, func() bool { return false })
 	n.closed.Store(true)
@@ -25,7 +26,7 @@
 		n.Log.Emit(event.DrainIncomplete, event.Number("requests", n.inProgress()))
 	}
 	n.closeSockets()
-	if n.wait(CloseTimeout, n.givenBack) {
+	if n.wait(n.Settings.Limits.CloseTimeout, n.givenBack) {
 		n.Log.Emit(event.RightsReturned)
 	} else {
 		n.Log.Emit(event.DrainIncomplete, event.Text("left", "rights or journal"))
@@ -59,7 +60,9 @@
 func (n *Node) closeSockets() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_ = n.sockets.callers.Shutdown(ctx)
+	for _, socket := range n.sockets.callers {
+		_ = socket.Shutdown(ctx)
+	}
 }
 
 // givenBack gives back what is left and reports whether nothing is. Rights that
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -23,12 +24,17 @@
 	"jacinthpaddle.example/fleet/connection/peer"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/control"
+	"jacinthpaddle.example/fleet/process/current"
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/meter"
 	"jacinthpaddle.example/fleet/process/platform"
 	"jacinthpaddle.example/fleet/process/secret"
+	"jacinthpaddle.example/fleet/process/store"
+	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/fleet/request/serve"
+	"jacinthpaddle.example/fleet/version/snapshot"
 	"jacinthpaddle.example/router/connection/listener"
 	"jacinthpaddle.example/router/request/front"
 )
@@ -74,6 +80,51 @@
 	Log   *event.Log
 	// Fatal ends the process after a fault that leaves its state unsure.
 	Fatal func(value any)
+	// Adapter speaks the protocols of another platform in place of the fleet's
+	// own. Nil is the fleet's own.
+	Adapter Adapter
+}
+
+// Platform is a client of the platform's service.
+type Platform interface {
+	store.Store
+	vm.Lister
+	// Close closes the connections that are not in use.
+	Close()
+}
+
+// Adapter translates between a platform and the product.
+type Adapter interface {
+	// Platform returns the client of the platform's service.
+	Platform(clk clock.Clock, config platform.Config) Platform
+	// Dialect is spoken with endpoints.
+	Dialect() endpoint.Dialect
+	// Sockets returns the callers' front ends.
+	Sockets(parts Parts) []Socket
+}
+
+// Parts are what a front end is made of.
+type Parts struct {
+	Self    ident.Incarnation
+	Place   vm.Place
+	Clock   clock.Clock
+	Log     *event.Log
+	Metrics *meter.Metrics
+	Views   *current.Value[*snapshot.Snapshot]
+	Runner  *serve.Runner
+	Listen  ListenSettings
+	Limits  LimitSettings
+	Locate  LocateSettings
+	// Members returns the fleet as this process sees it.
+	Members func() []member.Member
+	// Ready reports whether new callers should come.
+	Ready func() bool
+}
+
+// Socket is an address, an IP number and a port, and what is served there.
+type Socket struct {
+	Address string
+	Handler http.Handler
 }
 
 // Node is one router process.
@@ -84,21 +135,24 @@
 
 	state    *State
 	thread   *Thread
-	platform *platform.Client
+	platform Platform
 	hub      *peer.Hub
+	runner   *serve.Runner
 	front    *front.Front
 	keyed    keyed
 	locator  *locator
 	metrics  *meter.Metrics
 	sockets  sockets
 	closed   atomic.Bool
+	leaving  atomic.Bool
+	open     atomic.Int64
 	drain    chan struct{}
 	stop     context.CancelFunc
 	ctx      context.Context
 }
 
 type sockets struct {
-	callers   *listener.Listener
+	callers   []*listener.Listener
 	peers     *listener.Listener
 	operators *listener.Listener
 	metrics   *listener.Listener
@@ -119,21 +173,38 @@
 		drain:    make(chan struct{}, 1),
 	}
 	node.ctx, node.stop = context.WithCancel(context.Background())
-	node.platform = platform.New(deps.Clock, platform.Config{
-		Address:      settings.Platform.Address,
-		ReadTimeout:  settings.Platform.CallTimeout,
-		WriteTimeout: settings.Platform.CallTimeout,
-		WatchMargin:  WatchMargin,
-		Observe: func(operation string) {
-			metrics.PlatformCalls.Add(node.ctx, 1, meter.Operation(operation))
-		},
-	})
+	node.platform = node.wirePlatform()
 	node.wireControl()
 	node.wireTraffic()
 	if err := metrics.ObservePeers(node.peerBytes); err != nil {
 		return nil, err
 	}
-	return node, node.open()
+	return node, node.listen()
+}
+
+// wirePlatform returns the client of the platform's service.
+func (n *Node) wirePlatform() Platform {
+	config := platform.Config{
+		Address:      n.Settings.Platform.Address,
+		ReadTimeout:  n.Settings.Platform.CallTimeout,
+		WriteTimeout: n.Settings.Platform.CallTimeout,
+		WatchMargin:  n.Settings.Platform.WatchMargin,
+		Observe: func(operation string) {
+			n.metrics.PlatformCalls.Add(n.ctx, 1, meter.Operation(operation))
+		},
+	}
+	if n.Adapter == nil {
+		return platform.New(n.Clock, config)
+	}
+	return n.Adapter.Platform(n.Clock, config)
+}
+
+// dialect returns what is spoken with endpoints, nil being the fleet's own.
+func (n *Node) dialect() endpoint.Dialect {
+	if n.Adapter == nil {
+		return nil
+	}
+	return n.Adapter.Dialect()
 }
 
 // wireControl joins the control thread and the hub. Each needs the other: the
@@ -148,7 +219,7 @@
 		Receiver: receiver,
 	})
 	outside := &worker{Hub: n.hub, ctx: n.ctx, self: n.Self, objects: n.platform}
-	n.state = NewState(self, n.Settings, n.Clock, n.Log, outside)
+	n.state = NewState(self, n.Settings, n.dialect(), n.Clock, n.Log, outside)
 	n.state.Ousted = n.Drain
 	n.thread = control.New(n.state, n.Deps.Fatal)
 	receiver.thread = n.thread
@@ -173,7 +244,7 @@
 		VM:               n.Settings.VM.Name,
 		Address:          n.Settings.VM.Address,
 		PeerAddress:      n.Settings.At(n.Settings.Listen.PeerPort),
-		CallerAddress:    n.Settings.At(n.Settings.Listen.CallerPort),
+		CallerAddress:    n.Settings.callerAddress(),
 		OperatorsAddress: n.Settings.At(n.Settings.Listen.OperatorsPort),
 		Place:            n.Settings.Place(),
 		State:            member.Live,
@@ -181,7 +252,62 @@
 	}
 }
 
-func (n *Node) open() error {
+// callerSockets returns the callers' front ends.
+func (n *Node) callerSockets() []Socket {
+	if n.Adapter == nil {
+		return []Socket{{Address: n.Settings.callerAddress(), Handler: n.front}}
+	}
+	sockets := n.Adapter.Sockets(n.parts())
+	for index, socket := range sockets {
+		sockets[index].Handler = n.counted(socket.Handler)
+	}
+	return sockets
+}
+
+// parts returns what an adapter's front ends are made of.
+func (n *Node) parts() Parts {
+	return Parts{
+		Self:    n.Self,
+		Place:   n.Settings.Place(),
+		Clock:   n.Clock,
+		Log:     n.Log,
+		Metrics: n.metrics,
+		Views:   n.state.InForce,
+		Runner:  n.runner,
+		Listen:  n.Settings.Listen,
+		Limits:  n.Settings.Limits,
+		Locate:  n.Settings.Locate,
+		Members: n.members,
+		Ready:   n.ready,
+	}
+}
+
+func (n *Node) members() []member.Member {
+	if members := n.state.Fleet.Load(); members != nil {
+		return *members
+	}
+	return nil
+}
+
+// ready reports whether the process knows a configuration and is not leaving.
+func (n *Node) ready() bool {
+	_, known := n.state.InForce.Load()
+	return known && !n.leaving.Load()
+}
+
+// counted counts the requests in progress of a handler.
+func (n *Node) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		n.open.Add(1)
+		defer n.open.Add(-1)
+		if n.leaving.Load() {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+func (n *Node) listen() error {
 	limits := listener.Limits{
 		MaxHeaderBytes:    n.Settings.Limits.MaxHeaderBytes,
 		ReadHeaderTimeout: n.Settings.Limits.ReadHeaderTimeout,
@@ -191,8 +317,12 @@
 	own := listener.Limits{ReadHeaderTimeout: n.Settings.Limits.ReadHeaderTimeout}
 	var err error
 	ports := n.Settings.Listen
-	if n.sockets.callers, err = listener.Open(n.Settings.At(ports.CallerPort), limits, n.front); err != nil {
-		return err
+	for _, socket := range n.callerSockets() {
+		opened, err := listener.Open(socket.Address, limits, socket.Handler)
+		if err != nil {
+			return err
+		}
+		n.sockets.callers = append(n.sockets.callers, opened)
 	}
 	if n.sockets.peers, err = listener.Open(n.Settings.At(ports.PeerPort), own, n.peerMux()); err != nil {
 		return err
@@ -207,10 +337,9 @@
 // Run serves until the context ends or a drain is asked for, then drains.
 func (n *Node) Run(ctx context.Context) error {
 	n.Log.Emit(event.Started, event.Text("address", n.Settings.VM.Address))
-	failed := make(chan error, 4)
-	for _, socket := range []*listener.Listener{
-		n.sockets.callers, n.sockets.peers, n.sockets.operators, n.sockets.metrics,
-	} {
+	failed := make(chan error, 3+len(n.sockets.callers))
+	own := []*listener.Listener{n.sockets.peers, n.sockets.operators, n.sockets.metrics}
+	for _, socket := range append(own, n.sockets.callers...) {
 		go func() { failed <- socket.Serve() }()
 	}
 	n.start()
@@ -234,6 +363,7 @@
 		thread:   n.thread,
 		log:      n.Log,
 		interval: n.Settings.Platform.ListInterval,
+		grace:    n.Settings.Platform.ReturnGrace,
 		members:  n.state.Fleet,
 	}
 	pointer := &watcher{
@@ -242,6 +372,7 @@
 		thread:  n.thread,
 		log:     n.Log,
 		wait:    n.Settings.Platform.WatchWait,
+		retry:   n.Settings.Platform.WatchRetry,
 		waits:   n.state.Watches,
 	}
 	poller := endpoint.NewPoller(n.state.EndpointConfig, n.Clock, n.state.Endpoints)
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -14,6 +14,7 @@
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/rights"
 	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/fleet/request/retry"
 )
 
 // Receiver posts what the hub hears to the control thread.
@@ -159,10 +160,29 @@
 	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, len(members), FlushShare))
 	s.Keeper.SetPeers(s.Clock.Now(), s.keepers(members))
 	s.journal()
+	s.resizeRetries(running(members))
 	s.Fleet.Store(&members)
 	s.Watches.Store(watches(members, s.view().Self()))
 }
 
+// resizeRetries gives this process its part of the retries of the fleet.
+func (s *State) resizeRetries(processes int) {
+	settings := s.Settings.Retries
+	share := float64(settings.SharePercent) / 100
+	s.Retries.SetConfig(retry.FleetBudget(share, float64(settings.Slack), settings.Window, processes))
+}
+
+// running counts the members that are not known to have ended.
+func running(members []member.Member) int {
+	count := 0
+	for _, known := range members {
+		if known.State != member.Gone {
+			count++
+		}
+	}
+	return count
+}
+
 // spaced stretches an interval with the size of the fleet, so that all routers
 // together stay within the platform's rates.
 func spaced(interval time.Duration, members, share int) time.Duration {
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -94,7 +94,9 @@
 }
 
 // lister reads the platform's list of VMs, the more seldom the larger the fleet,
-// so that all routers together stay within the platform's rates.
+// so that all routers together stay within the platform's rates. VMs that are
+// missing from the list within the grace after the platform was away stay in it,
+// since their entries can have lapsed meanwhile.
 type lister struct {
 	clock    clock.Clock
 	vms      vm.Lister
@@ -102,6 +104,9 @@
 	log      *event.Log
 	interval time.Duration
 	members  *atomic.Pointer[[]member.Member]
+	grace    time.Duration
+	held     []vm.VM
+	back     time.Time
 	down     bool
 }
 
@@ -129,10 +134,16 @@
 		l.down = true
 		return
 	}
+	now := l.clock.Now()
 	if l.down {
 		l.log.Emit(event.PlatformBack)
+		l.back = now
 	}
 	l.down = false
+	if !l.back.IsZero() && now.Sub(l.back) < l.grace {
+		list = vm.Kept(list, l.held)
+	}
+	l.held = list
 	l.thread.Tell(Listed{List: list})
 }
 
@@ -145,6 +156,7 @@
 	thread  *Thread
 	log     *event.Log
 	wait    time.Duration
+	retry   time.Duration
 	waits   *atomic.Bool
 	held    string
 }
@@ -160,7 +172,7 @@
 		pause := PointerInterval
 		if err != nil && ctx.Err() == nil {
 			w.log.Emit(event.GenerationFailed, event.Cause(err))
-			pause = WatchRetry
+			pause = w.retry
 		}
 		sleep(ctx, w.clock, pause)
 	}
--- a/router/process/node/rights.go
+++ b/router/process/node/rights.go
@@ -160,7 +160,7 @@
 }
 
 func (s *State) page(budget string) *pageState {
-	name := account.PageName(budget)
+	name := account.PageName(budget, s.Settings.Rights.Pages)
 	page, ok := s.pages[name]
 	if !ok {
 		page = &pageState{next: PageJob{Held: store.Object{Name: name}}}
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -11,6 +11,8 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"jacinthpaddle.example/fleet/process/account"
+	"jacinthpaddle.example/fleet/process/rights"
 	"jacinthpaddle.example/fleet/process/setting"
 	"jacinthpaddle.example/fleet/process/vm"
 )
@@ -24,6 +26,7 @@
 	Limits   LimitSettings    `ini:"limits"`
 	Rights   RightsSettings   `ini:"rights"`
 	Journal  JournalSettings  `ini:"journal"`
+	Retries  RetrySettings    `ini:"retries"`
 	Locate   LocateSettings   `ini:"locate"`
 	Log      LogSettings      `ini:"log"`
 }
@@ -36,20 +39,33 @@
 	AvailabilityZone string `ini:"availability_zone"`
 }
 
-// ListenSettings are the TCP ports on the VM's address.
+// ListenSettings are the TCP ports on the VM's address. Callers, Ready and Locate
+// are addresses with a port, for a platform on which these are apart: Callers
+// goes before the caller port.
 type ListenSettings struct {
-	CallerPort    int `ini:"caller_port"`
-	PeerPort      int `ini:"peer_port"`
-	OperatorsPort int `ini:"operators_port"`
-	MetricsPort   int `ini:"metrics_port"`
+	CallerPort    int    `ini:"caller_port"`
+	PeerPort      int    `ini:"peer_port"`
+	OperatorsPort int    `ini:"operators_port"`
+	MetricsPort   int    `ini:"metrics_port"`
+	Callers       string `ini:"callers"`
+	Ready         string `ini:"ready"`
+	Locate        string `ini:"locate"`
 }
 
 // PlatformSettings lead to the platform's service. Address is host and port.
+// ReturnGrace is how long endpoints that are missing from the list stay in use
+// after the platform was away. LeavingHold is how long the list alone cannot
+// bring a leaving endpoint back. Polled bounds the endpoints whose load is polled.
 type PlatformSettings struct {
 	Address      string        `ini:"address"`
 	CallTimeout  time.Duration `ini:"call_timeout"`
 	WatchWait    time.Duration `ini:"watch_wait"`
+	WatchMargin  time.Duration `ini:"watch_margin"`
+	WatchRetry   time.Duration `ini:"watch_retry"`
 	ListInterval time.Duration `ini:"list_interval"`
+	ReturnGrace  time.Duration `ini:"return_grace"`
+	LeavingHold  time.Duration `ini:"leaving_hold"`
+	Polled       int           `ini:"polled_endpoints"`
 }
 
 // FleetSettings join the routers. Secret is shared by all of them.
@@ -67,29 +83,45 @@
 	ReadHeaderTimeout time.Duration `ini:"read_header_timeout"`
 	ReadBodyTimeout   time.Duration `ini:"read_body_timeout"`
 	DrainTimeout      time.Duration `ini:"drain_timeout"`
+	CloseTimeout      time.Duration `ini:"close_timeout"`
 	MaxQueueWait      time.Duration `ini:"max_queue_wait"`
 }
 
 // RightsSettings size the part of the budgets that the process holds. Horizon
 // and Ready are times of recent demand. Holders is the least number of routers
 // to expect at one budget, and SharePercent how much of an equal part of what
-// remains each may hold.
+// remains each may hold. Window is the time over which demand is averaged, Pages
+// the number of objects that accounts are spread over, and Guarded has peers
+// guard what is not ready to spend.
 type RightsSettings struct {
 	Horizon       time.Duration `ini:"horizon"`
 	Ready         time.Duration `ini:"ready"`
+	Window        time.Duration `ini:"window"`
+	Pages         int           `ini:"pages"`
+	Guarded       bool          `ini:"guarded"`
 	Holders       int           `ini:"holders"`
 	SharePercent  int           `ini:"share_percent"`
 	SearchTimeout time.Duration `ini:"search_timeout"`
 }
 
-// JournalSettings bound the wait for a safe record of a request.
+// JournalSettings bound the wait for a safe record of a request. Without Wait a
+// request goes on at once, and its record follows.
 type JournalSettings struct {
+	Wait          bool          `ini:"wait"`
 	Copies        int           `ini:"copies"`
 	FlushInterval time.Duration `ini:"flush_interval"`
 	OpenTimeout   time.Duration `ini:"open_timeout"`
 	FinalTimeout  time.Duration `ini:"final_timeout"`
 }
 
+// RetrySettings bound the retries of the whole fleet at one pool: SharePercent of
+// the requests and Slack more in each Window.
+type RetrySettings struct {
+	SharePercent int           `ini:"share_percent"`
+	Slack        int           `ini:"slack"`
+	Window       time.Duration `ini:"window"`
+}
+
 // LocateSettings shape the answers to callers that ask which address to use.
 type LocateSettings struct {
 	TTL time.Duration `ini:"ttl"`
@@ -107,7 +139,11 @@
 		Platform: PlatformSettings{
 			CallTimeout:  2 * time.Second,
 			WatchWait:    8 * time.Second,
+			WatchMargin:  WatchMargin,
+			WatchRetry:   WatchRetry,
 			ListInterval: time.Second,
+			LeavingHold:  30 * time.Second,
+			Polled:       16,
 		},
 		Fleet: FleetSettings{EntryPool: "entry"},
 		Limits: LimitSettings{
@@ -118,16 +154,22 @@
 			ReadHeaderTimeout: 5 * time.Second,
 			ReadBodyTimeout:   30 * time.Second,
 			DrainTimeout:      2 * time.Minute,
+			CloseTimeout:      CloseTimeout,
 			MaxQueueWait:      time.Second,
 		},
 		Rights: RightsSettings{
 			Horizon:       8 * time.Hour,
 			Ready:         30 * time.Second,
+			Window:        rights.DemandWindow,
+			Pages:         account.PageCount,
+			Guarded:       true,
 			Holders:       8,
 			SharePercent:  400,
 			SearchTimeout: 1500 * time.Millisecond,
 		},
+		Retries: RetrySettings{SharePercent: 10, Slack: 160, Window: 10 * time.Second},
 		Journal: JournalSettings{
+			Wait:          true,
 			Copies:        2,
 			FlushInterval: time.Second,
 			OpenTimeout:   2 * time.Second,
@@ -161,6 +203,14 @@
 	return net.JoinHostPort(s.VM.Address, strconv.Itoa(port))
 }
 
+// callerAddress returns where callers connect.
+func (s Settings) callerAddress() string {
+	if s.Listen.Callers != "" {
+		return s.Listen.Callers
+	}
+	return s.At(s.Listen.CallerPort)
+}
+
 // peerAddress returns where another VM accepts links.
 func (s Settings) peerAddress(machine vm.VM) string {
 	return net.JoinHostPort(machine.Address, strconv.Itoa(s.Listen.PeerPort))
@@ -203,6 +253,12 @@
 	check.require(err == nil, "platform", "address", "must be host:port")
 	check.require(s.Fleet.EntryPool != "", "fleet", "entry_pool", "is missing")
 	check.require(len(s.Fleet.Secret) >= 16, "fleet", "secret", "must have at least 16 characters")
+	for key, address := range map[string]string{
+		"callers": s.Listen.Callers, "ready": s.Listen.Ready, "locate": s.Listen.Locate,
+	} {
+		_, err = netip.ParseAddrPort(address)
+		check.require(address == "" || err == nil, "listen", key, "must be an IP number and a port")
+	}
 	_, err = logrus.ParseLevel(s.Log.Level)
 	check.require(err == nil, "log", "level", "must be debug, info, warning or error")
 }
@@ -223,13 +279,23 @@
 	check.within(int64(s.Limits.MaxConcurrent), 1, 1<<20, "limits", "max_concurrent")
 	check.within(int64(s.Rights.Holders), 1, 64, "rights", "holders")
 	check.within(int64(s.Rights.SharePercent), 1, 100*int64(s.Rights.Holders), "rights", "share_percent")
-	check.within(int64(s.Journal.Copies), 1, 4, "journal", "copies")
+	check.within(int64(s.Journal.Copies), 0, 4, "journal", "copies")
+	check.require(s.Journal.Copies > 0 || !s.Journal.Wait, "journal", "copies", "must not be zero while requests wait for them")
+	check.within(int64(s.Rights.Pages), 1, account.PageCount, "rights", "pages")
+	check.within(int64(s.Platform.Polled), 0, 1024, "platform", "polled_endpoints")
+	check.within(int64(s.Retries.SharePercent), 0, 100, "retries", "share_percent")
+	check.within(int64(s.Retries.Slack), 0, 1<<20, "retries", "slack")
 }
 
 func (s Settings) checkTimes(check *checker) {
 	check.positive(s.Platform.CallTimeout, "platform", "call_timeout")
 	check.positive(s.Platform.WatchWait, "platform", "watch_wait")
 	check.positive(s.Platform.ListInterval, "platform", "list_interval")
+	check.positive(s.Platform.WatchMargin, "platform", "watch_margin")
+	check.positive(s.Platform.WatchRetry, "platform", "watch_retry")
+	check.positive(s.Limits.CloseTimeout, "limits", "close_timeout")
+	check.positive(s.Rights.Window, "rights", "window")
+	check.positive(s.Retries.Window, "retries", "window")
 	check.positive(s.Limits.ReadHeaderTimeout, "limits", "read_header_timeout")
 	check.positive(s.Limits.ReadBodyTimeout, "limits", "read_body_timeout")
 	check.positive(s.Limits.DrainTimeout, "limits", "drain_timeout")
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -17,6 +17,7 @@
 	"jacinthpaddle.example/fleet/process/rights"
 	"jacinthpaddle.example/fleet/process/store"
 	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/fleet/request/retry"
 	"jacinthpaddle.example/fleet/version/generation"
 	"jacinthpaddle.example/fleet/version/snapshot"
 )
@@ -102,6 +103,8 @@
 	Fleet *atomic.Pointer[[]member.Member]
 	// Watches tells whether the process watches the store for generations.
 	Watches *atomic.Bool
+	// Retries is sized by the control thread and drawn on by traffic.
+	Retries *retry.Budgets
 	// Endpoints is changed by the control thread and read by traffic.
 	Endpoints      *endpoint.Table
 	EndpointConfig endpoint.Config
@@ -118,15 +121,26 @@
 	ousted     bool
 }
 
-// NewState returns the state of a process that has just started.
-func NewState(self member.Member, settings Settings, clk clock.Clock, log *event.Log, outside Outside) *State {
+// endpointConfig returns what the settings say of endpoints.
+func endpointConfig(self member.Member, settings Settings, dialect endpoint.Dialect) endpoint.Config {
+	config := endpoint.Defaults(self.Place, self.Incarnation)
+	config.LeavingHold = settings.Platform.LeavingHold
+	config.Polled = settings.Platform.Polled
+	config.Dialect = dialect
+	return config
+}
+
+// NewState returns the state of a process that has just started and speaks the
+// dialect with endpoints, nil being the fleet's own.
+func NewState(self member.Member, settings Settings, dialect endpoint.Dialect, clk clock.Clock, log *event.Log, outside Outside) *State {
 	now := clk.Now()
-	endpoints := endpoint.Defaults(self.Place, self.Incarnation)
+	endpoints := endpointConfig(self, settings, dialect)
 	sizer := rights.DemandShrinking{
-		Horizon: settings.Rights.Horizon,
-		Ready:   settings.Rights.Ready,
-		Share:   float64(settings.Rights.SharePercent) / 100,
-		Holders: settings.Rights.Holders,
+		Horizon:   settings.Rights.Horizon,
+		Ready:     settings.Rights.Ready,
+		Share:     float64(settings.Rights.SharePercent) / 100,
+		Holders:   settings.Rights.Holders,
+		Unguarded: !settings.Rights.Guarded,
 	}
 	keeping := journal.DefaultConfig()
 	keeping.Copies = settings.Journal.Copies
@@ -147,6 +161,7 @@
 		Linked:         make(map[ident.Incarnation]bool),
 		Watches:        &atomic.Bool{},
 		Fleet:          &atomic.Pointer[[]member.Member]{},
+		Retries:        retry.NewBudgets(retry.BudgetDefaults(), clk),
 		Endpoints:      endpoint.NewTable(endpoints, clk),
 		EndpointConfig: endpoints,
 		pages:          make(map[string]*pageState),
@@ -155,7 +170,9 @@
 		recoveries:     make(map[RecoveryKey]*rights.Recovery),
 		inspected:      make(map[ident.Incarnation]bool),
 	}
+	state.Book.Window = settings.Rights.Window
 	state.Watches.Store(true)
+	state.resizeRetries(1)
 	return state
 }
 
--- a/router/process/node/state_bench_test.go
+++ b/router/process/node/state_bench_test.go
@@ -61,7 +61,7 @@
 			members, list := largeFleet(size)
 			log := event.NewLog(io.Discard, logrus.ErrorLevel)
 			out := &silent{}
-			state := node.NewState(members[0], node.DefaultSettings(), fake, log, out)
+			state := node.NewState(members[0], node.DefaultSettings(), nil, fake, log, out)
 			state.Ousted = func() {}
 			node.Listed{List: list}.Apply(state)
 			join(state, members)
--- a/router/process/node/state_test.go
+++ b/router/process/node/state_test.go
@@ -89,7 +89,7 @@
 	self := member.Member{Incarnation: "self", VM: "entry-1", Started: fake.Now()}
 	log := event.NewLog(io.Discard, logrus.ErrorLevel)
 	out := &outside{page: account.Page{Accounts: make(map[string]account.Account)}}
-	state := node.NewState(self, node.DefaultSettings(), fake, log, out)
+	state := node.NewState(self, node.DefaultSettings(), nil, fake, log, out)
 	state.Ousted = func() {}
 	thread := control.New(state, func(value any) { t.Errorf("panic: %v", value) })
 	t.Cleanup(thread.Stop)
@@ -99,7 +99,7 @@
 		outside: out,
 		clock:   fake,
 		wallet:  node.NewWallet(thread, state.Book.Purses),
-		records: node.NewRecorder(thread),
+		records: node.NewRecorder(thread, true),
 	}
 	made.offer(t, 1, purchased)
 	return made
@@ -331,7 +331,7 @@
 	for self := range size {
 		fake := clock.NewFake()
 		others := slices.Concat(members[self:], members[:self])
-		state := node.NewState(others[0], node.DefaultSettings(), fake, log, &silent{})
+		state := node.NewState(others[0], node.DefaultSettings(), nil, fake, log, &silent{})
 		join(state, others)
 		for _, guard := range state.Book.Peers[:account.MinGuards] {
 			chosen[guard]++
--- a/router/process/node/wire.go
+++ b/router/process/node/wire.go
@@ -19,18 +19,18 @@
 
 // wireTraffic joins the parts that serve requests.
 func (n *Node) wireTraffic() {
-	runner := &serve.Runner{
+	n.runner = &serve.Runner{
 		Clock:     n.Clock,
 		Random:    random.New(),
 		Log:       n.Log,
 		Metrics:   n.metrics,
 		Wallet:    NewWallet(n.thread, n.state.Book.Purses),
-		Recorder:  NewRecorder(n.thread),
+		Recorder:  NewRecorder(n.thread, n.Settings.Journal.Wait),
 		Endpoints: n.state.Endpoints,
 		Slots:     serve.NewSlots(n.Clock, n.state.Endpoints, n.Settings.Limits.MaxQueueWait),
 		Picker:    choose.New(choose.Defaults(n.Settings.Place()), random.New()),
 		Policy:    retry.Defaults(),
-		Budget:    retry.NewBudget(retry.BudgetDefaults(), n.Clock.Now()),
+		Budgets:   n.state.Retries,
 		Limits: serve.Limits{
 			Search: n.Settings.Rights.SearchTimeout,
 			Open:   n.Settings.Journal.OpenTimeout,
@@ -47,7 +47,7 @@
 	n.front = front.New(front.Deps{
 		Self:      n.Self,
 		Views:     n.state.InForce,
-		Runner:    runner,
+		Runner:    n.runner,
 		Once:      n.keyed.flow,
 		Forwarder: n.keyed.forwarder,
 		Locator:   n.locator,
--- a/router/request/front/encode.go
+++ b/router/request/front/encode.go
@@ -71,7 +71,7 @@
 // dropped lists headers of an endpoint's answer that are not passed on.
 var dropped = []string{
 	"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade", "Te",
-	"Proxy-Authenticate", serve.AttemptHeader, endpoint.StateHeader,
+	"Proxy-Authenticate", endpoint.AttemptHeader, endpoint.StateHeader,
 }
 
 // plainSink passes on whole answers.
@@ -80,6 +80,11 @@
 	sent   bool
 }
 
+// Begin implements serve.Sink. Whole answers have no parts to follow.
+func (s *plainSink) Begin(int, http.Header) error {
+	return nil
+}
+
 // Part implements serve.Sink. Whole answers have no parts.
 func (s *plainSink) Part([]byte) error {
 	return nil
@@ -96,7 +101,7 @@
 		header.Del(name)
 	}
 	header.Set(endpoint.RunHeader, string(journal.Ran))
-	header.Set(serve.RequestHeader, string(result.Request))
+	header.Set(endpoint.RequestHeader, string(result.Request))
 	s.writer.WriteHeader(result.Status)
 	_, err := s.writer.Write(result.Body)
 	return err
@@ -137,7 +142,7 @@
 	header := s.writer.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-store")
-	header.Set(serve.RequestHeader, s.request)
+	header.Set(endpoint.RequestHeader, s.request)
 	s.writer.WriteHeader(http.StatusOK)
 }
 
--- a/router/request/front/keyed.go
+++ b/router/request/front/keyed.go
@@ -120,6 +120,11 @@
 	record once.Record
 }
 
+// Begin implements serve.Sink. Recorded answers have no head of their own.
+func (r recorder) Begin(int, http.Header) error {
+	return nil
+}
+
 // Part implements serve.Sink.
 func (r recorder) Part(part []byte) error {
 	r.record.Part(part)
--- a/router/request/front/keyed_test.go
+++ b/router/request/front/keyed_test.go
@@ -132,7 +132,7 @@
 		Runner: &serve.Runner{
 			Clock: clk, Random: random.New(), Log: log, Metrics: metrics, Wallet: b, Recorder: b,
 			Endpoints: table, Slots: serve.NewSlots(clk, table, time.Minute), Picker: choose.New(choose.Defaults(vm.Place{}), random.New()),
-			Policy: retry.Defaults(), Budget: retry.NewBudget(retry.BudgetDefaults(), clk.Now()),
+			Policy: retry.Defaults(), Budgets: retry.NewBudgets(retry.BudgetDefaults(), clk),
 			Limits: serve.Limits{Search: time.Minute, Open: time.Minute, Final: time.Minute},
 		},
 		Once: once.New(once.Deps{
