--- a/fleet/connection/endpoint/dialect.go
+++ b/fleet/connection/endpoint/dialect.go
@@ -29,14 +29,13 @@
 }
 
 // Signs are what the head of an answer tells. Run is the endpoint's own word, or
-// empty, and Attempt the request that it answers, or empty. Load is nil if the
-// answer tells none. Misdirected says that another endpoint has the address.
+// empty, and Attempt the request that it answers, or empty. Leaving says that the
+// endpoint leaves or has left. Load is nil if the answer tells none.
 type Signs struct {
-	Run         journal.Run
-	Attempt     ident.Attempt
-	Leaving     bool
-	Misdirected bool
-	Load        *Load
+	Run     journal.Run
+	Attempt ident.Attempt
+	Leaving bool
+	Load    *Load
 }
 
 // Load is the number of requests at an endpoint, and of those that it runs at
--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -51,6 +51,7 @@
 	RequestFailed    = Kind{8001, "request failed", logrus.InfoLevel}
 	ClaimFailed      = Kind{8002, "claim of an idempotency key not written", logrus.WarnLevel}
 	ForwardFailed    = Kind{8003, "request not forwarded to the holder of its key", logrus.WarnLevel}
+	RequestRefused   = Kind{8005, "request refused", logrus.InfoLevel}
 	RunPanicked      = Kind{8004, "request with an idempotency key panicked", logrus.ErrorLevel}
 )
 
@@ -64,7 +65,7 @@
 		JournalFailed, JournalAdopted, JournalFull,
 		PeerUp, PeerDown,
 		EndpointEjected, EndpointLeaving, FrameDropped,
-		RequestFailed, ClaimFailed, ForwardFailed, RunPanicked,
+		RequestFailed, ClaimFailed, ForwardFailed, RunPanicked, RequestRefused,
 	}
 }
 
--- a/fleet/request/admit/admit.go
+++ b/fleet/request/admit/admit.go
@@ -46,6 +46,8 @@
 	// Attempts bounds the endpoints that may have begun the request, zero being
 	// the retry policy's own bound.
 	Attempts int
+	// Streamed answers come as events.
+	Streamed bool
 	// Resumable streams may go on at another endpoint.
 	Resumable bool
 	// TokensPerEvent is how many output tokens one event holds at most.
--- a/fleet/request/admit/path.go
+++ b/fleet/request/admit/path.go
@@ -51,6 +51,7 @@
 		Stall:          stall(path),
 		EndsWithCaller: path.Kind != declare.UnsafePath,
 		Attempts:       path.Attempts,
+		Streamed:       path.Kind == declare.StreamPath,
 		Resumable:      path.Resumable && path.Kind == declare.StreamPath,
 		TokensPerEvent: max(1, pool.TokensPerEvent),
 		Priority:       path.Priority,
--- /dev/null
+++ b/fleet/request/locate/near.go
@@ -0,0 +1,61 @@
+package locate
+
+import (
+	"cmp"
+	"slices"
+
+	"jacinthpaddle.example/fleet/process/member"
+	"jacinthpaddle.example/fleet/process/vm"
+)
+
+// MaxNear bounds the addresses of one answer.
+const MaxNear = 64
+
+// Near returns the callers' addresses of the routers nearest to the place: all
+// that take work in its availability zone, else in its region, else anywhere.
+//
+// A process that has lost most of the others is more likely cut off itself, so
+// then those that it suspects count as well.
+func Near(members []member.Member, place vm.Place) []string {
+	usable := working(members)
+	nearest := vm.OtherRegion
+	for _, router := range usable {
+		nearest = min(nearest, place.Distance(router.Place))
+	}
+	var addresses []string
+	for _, router := range usable {
+		if place.Distance(router.Place) == nearest {
+			addresses = append(addresses, router.CallerAddress)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses[:min(MaxNear, len(addresses))]
+}
+
+// working returns the live members, and the suspected ones if these are most.
+func working(members []member.Member) []member.Member {
+	var live, suspected []member.Member
+	for _, router := range members {
+		switch router.State {
+		case member.Live:
+			live = append(live, router)
+		case member.Suspected:
+			suspected = append(suspected, newest(members, router)...)
+		}
+	}
+	if len(suspected) >= len(live) {
+		live = append(live, suspected...)
+	}
+	slices.SortFunc(live, func(a, b member.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return live
+}
+
+// newest returns the router unless another process took over its address.
+func newest(members []member.Member, router member.Member) []member.Member {
+	for _, other := range members {
+		if other.CallerAddress == router.CallerAddress && other.Incarnation != router.Incarnation && other.State == member.Live {
+			return nil
+		}
+	}
+	return []member.Member{router}
+}
--- a/router/main.go
+++ b/router/main.go
@@ -15,6 +15,8 @@
 	"jacinthpaddle.example/router/process/launch"
 )
 
+var program = launch.Program{Name: "router", SettingsVariable: "JACINTH_SETTINGS"}
+
 func main() {
-	os.Exit(launch.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(launch.Main(program, os.Args[1:], os.Stdout))
 }
--- a/router/process/launch/launch.go
+++ b/router/process/launch/launch.go
@@ -2,7 +2,8 @@
 //
 // # Usage
 //
-//	os.Exit(launch.Main(os.Args[1:], os.Stdout, os.Stderr))
+//	program := launch.Program{Name: "router", SettingsVariable: "JACINTH_SETTINGS"}
+//	os.Exit(launch.Main(program, os.Args[1:], os.Stdout))
 package launch
 
 import (
@@ -34,8 +35,17 @@
 	ExitPanicked = 70
 )
 
+// Program is one build of the router. The environment variable holds the path of
+// the settings where the command line names none. Adapter is nil for the fleet's
+// own protocols.
+type Program struct {
+	Name             string
+	SettingsVariable string
+	Adapter          node.Adapter
+}
+
 type settingsFlag struct {
-	Settings string `arg:"--settings,required,env:JACINTH_SETTINGS" help:"INI file with the settings"`
+	Settings string `arg:"--settings" help:"INI file with the settings"`
 }
 
 type arguments struct {
@@ -44,10 +54,10 @@
 	Version *struct{}     `arg:"subcommand:version" help:"print the version"`
 }
 
-// Main runs the command line and returns the exit code.
-func Main(args []string, out, log io.Writer) int {
+// Main runs the command line and returns the exit code. Logs go to the output.
+func Main(program Program, args []string, out io.Writer) int {
 	var parsed arguments
-	parser, err := arg.NewParser(arg.Config{Program: "router", Out: out}, &parsed)
+	parser, err := arg.NewParser(arg.Config{Program: program.Name, Out: out}, &parsed)
 	if err != nil {
 		return ExitFailed
 	}
@@ -57,16 +67,24 @@
 		parser.WriteHelp(out)
 		return ExitOK
 	case err != nil || parser.Subcommand() == nil:
-		parser.WriteUsage(log)
+		parser.WriteUsage(out)
 		return ExitUsage
 	case parsed.Version != nil:
-		_, _ = fmt.Fprintln(out, "router", Version)
+		_, _ = fmt.Fprintln(out, program.Name, Version)
 		return ExitOK
 	case parsed.Check != nil:
-		return check(parsed.Check.Settings, out)
+		return check(program.path(parsed.Check), out)
 	default:
-		return run(parsed.Run.Settings, log)
+		return run(program, program.path(parsed.Run), out)
+	}
+}
+
+// path returns the path of the settings.
+func (p Program) path(flag *settingsFlag) string {
+	if flag.Settings != "" {
+		return flag.Settings
 	}
+	return os.Getenv(p.SettingsVariable)
 }
 
 func check(path string, out io.Writer) int {
@@ -93,7 +111,7 @@
 	return node.LoadSettings(content)
 }
 
-func run(path string, out io.Writer) int {
+func run(program Program, path string, out io.Writer) int {
 	settings, err := load(path)
 	if err != nil {
 		event.NewLog(out, logrus.InfoLevel).Emit(event.BadSettings, event.Cause(err))
@@ -101,7 +119,7 @@
 	}
 	level, _ := logrus.ParseLevel(settings.Log.Level)
 	log := event.NewLog(out, level, event.Text("vm", settings.VM.Name))
-	router, err := node.New(settings, node.Deps{Clock: clock.New(), Log: log, Fatal: fatal(log)})
+	router, err := node.New(settings, node.Deps{Clock: clock.New(), Log: log, Fatal: fatal(log), Adapter: program.Adapter})
 	if err != nil {
 		log.Emit(event.ListenFailed, event.Cause(err))
 		return ExitFailed
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -96,7 +96,7 @@
 // Adapter translates between a platform and the product.
 type Adapter interface {
 	// Platform returns the client of the platform's service.
-	Platform(clk clock.Clock, config platform.Config) Platform
+	Platform(settings Settings, clk clock.Clock, config platform.Config) Platform
 	// Dialect is spoken with endpoints.
 	Dialect() endpoint.Dialect
 	// Sockets returns the callers' front ends.
@@ -196,7 +196,7 @@
 	if n.Adapter == nil {
 		return platform.New(n.Clock, config)
 	}
-	return n.Adapter.Platform(n.Clock, config)
+	return n.Adapter.Platform(n.Settings, n.Clock, config)
 }
 
 // dialect returns what is spoken with endpoints, nil being the fleet's own.
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -56,6 +57,8 @@
 // ReturnGrace is how long endpoints that are missing from the list stay in use
 // after the platform was away. LeavingHold is how long the list alone cannot
 // bring a leaving endpoint back. Polled bounds the endpoints whose load is polled.
+// Regions lists availability zones with their regions, as zone:region, where the
+// platform's list names only zones.
 type PlatformSettings struct {
 	Address      string        `ini:"address"`
 	CallTimeout  time.Duration `ini:"call_timeout"`
@@ -64,6 +67,7 @@
 	WatchRetry   time.Duration `ini:"watch_retry"`
 	ListInterval time.Duration `ini:"list_interval"`
 	ReturnGrace  time.Duration `ini:"return_grace"`
+	Regions      string        `ini:"regions"`
 	LeavingHold  time.Duration `ini:"leaving_hold"`
 	Polled       int           `ini:"polled_endpoints"`
 }
@@ -203,6 +207,17 @@
 	return net.JoinHostPort(s.VM.Address, strconv.Itoa(port))
 }
 
+// RegionOf returns the region of each availability zone that Regions lists.
+func (p PlatformSettings) RegionOf() map[string]string {
+	regions := make(map[string]string)
+	for entry := range strings.SplitSeq(p.Regions, ",") {
+		if zone, region, ok := strings.Cut(entry, ":"); ok {
+			regions[strings.TrimSpace(zone)] = strings.TrimSpace(region)
+		}
+	}
+	return regions
+}
+
 // callerAddress returns where callers connect.
 func (s Settings) callerAddress() string {
 	if s.Listen.Callers != "" {
