--- a/fleet/process/journal/keeper.go
+++ b/fleet/process/journal/keeper.go
@@ -221,7 +221,7 @@
 	if k.writing != nil || len(k.pending) == 0 {
 		return
 	}
-	if now.Before(k.flushAt) && len(k.guards()) > 0 && !k.overdue(now) {
+	if now.Before(k.flushAt) && !k.urgent(now) {
 		return
 	}
 	k.segment++
@@ -232,6 +232,15 @@
 	k.effects.Write = k.writing
 }
 
+// urgent reports whether a record must be stored before the interval is over.
+// Without copies none is waited for.
+func (k *Keeper) urgent(now time.Time) bool {
+	if k.config.Copies == 0 {
+		return false
+	}
+	return len(k.guards()) == 0 || k.overdue(now)
+}
+
 // overdue reports whether a record has waited too long for its copies.
 func (k *Keeper) overdue(now time.Time) bool {
 	for _, record := range k.pending {
--- a/fleet/process/rights/sizing.go
+++ b/fleet/process/rights/sizing.go
@@ -1,6 +1,9 @@
 package rights
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Situation is what a Sizer decides on, for one budget at one holder. Held is
 // what the holder has and did not spend, and Remaining what the store had left
@@ -35,6 +38,9 @@
 // provides for at least.
 const MinNeeds = 4
 
+// HalfRefill draws again once half of the aim is used.
+const HalfRefill = 0.5
+
 // EvenSplit grants each of a fixed number of holders an equal part of what was
 // purchased, and nothing else.
 type EvenSplit struct {
@@ -74,7 +80,7 @@
 
 // Draw implements Sizer.
 func (d DemandHorizon) Draw(s Situation) int64 {
-	return refill(s, forDuration(s.Demand, d.Horizon))
+	return refill(s, forDuration(s.Demand, d.Horizon), HalfRefill)
 }
 
 // Exposure implements Sizer.
@@ -101,11 +107,15 @@
 // but never more than Share times an equal part of what remains. Holders is the
 // least number of holders to expect. Peers guard what is not ready to spend,
 // unless it is Unguarded.
+//
+// A draw brings what is held up to the aim once it is under the part Refill of
+// it.
 type DemandShrinking struct {
 	Horizon   time.Duration
 	Ready     time.Duration
 	Share     float64
 	Holders   int
+	Refill    float64
 	Unguarded bool
 }
 
@@ -117,14 +127,18 @@
 		Ready:   30 * time.Second,
 		Share:   4,
 		Holders: holders,
+		Refill:  HalfRefill,
 	}
 }
 
 // Draw implements Sizer.
 func (d DemandShrinking) Draw(s Situation) int64 {
 	part := d.part(s, s.Remaining)
-	aim := min(forDuration(s.Demand, d.Horizon), max(part, s.Need))
-	return refill(s, aim)
+	wanted := forDuration(s.Demand, d.Horizon)
+	if s.Demand == 0 {
+		wanted = MinNeeds * s.Need
+	}
+	return refill(s, min(wanted, max(part, s.Need)), d.Refill)
 }
 
 // Exposure implements Sizer.
@@ -154,9 +168,9 @@
 }
 
 // refill returns what brings the held credits up to the aim once they are
-// under half of it or under the need.
-func refill(s Situation, aim int64) int64 {
-	if s.Held >= max(s.Need, (aim+1)/2) {
+// under the part of it or under the need.
+func refill(s Situation, aim int64, part float64) int64 {
+	if s.Held >= max(s.Need, int64(math.Ceil(part*float64(aim)))) {
 		return 0
 	}
 	return max(s.Need, aim) - s.Held
--- a/router/process/node/rights.go
+++ b/router/process/node/rights.go
@@ -249,6 +249,7 @@
 		} else {
 			view := m.Page.View(budget, state.Self, m.Job.Purchased[budget])
 			state.order(state.Book.Stored(budget, view, now))
+			state.logDrawn(budget)
 		}
 		state.serve(budget)
 	}
@@ -260,6 +261,15 @@
 	}
 }
 
+func (s *State) logDrawn(budget string) {
+	holding := s.Book.Holding(budget)
+	level := holding.Purse.Level()
+	s.Log.Emit(event.RightsDrawn, event.Text("budget", budget), event.Number("purchased", holding.Purchased),
+		event.Number("granted", holding.Granted), event.Number("held", level.Available),
+		event.Number("spent", level.Spent), event.Number("remaining", holding.Remaining),
+		event.Number("demand_per_second", int64(holding.Demand.Rate)))
+}
+
 // dispatchAll starts jobs that wait since the store was away.
 func (s *State) dispatchAll() {
 	for _, page := range s.pages {
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -105,6 +105,7 @@
 	Guarded       bool          `ini:"guarded"`
 	Holders       int           `ini:"holders"`
 	SharePercent  int           `ini:"share_percent"`
+	RefillPercent int           `ini:"refill_percent"`
 	SearchTimeout time.Duration `ini:"search_timeout"`
 }
 
@@ -169,6 +170,7 @@
 			Guarded:       true,
 			Holders:       8,
 			SharePercent:  400,
+			RefillPercent: 50,
 			SearchTimeout: 1500 * time.Millisecond,
 		},
 		Retries: RetrySettings{SharePercent: 10, Slack: 160, Window: 10 * time.Second},
@@ -296,6 +298,7 @@
 	check.within(int64(s.Rights.SharePercent), 1, 100*int64(s.Rights.Holders), "rights", "share_percent")
 	check.within(int64(s.Journal.Copies), 0, 4, "journal", "copies")
 	check.require(s.Journal.Copies > 0 || !s.Journal.Wait, "journal", "copies", "must not be zero while requests wait for them")
+	check.within(int64(s.Rights.RefillPercent), 1, 100, "rights", "refill_percent")
 	check.within(int64(s.Rights.Pages), 1, account.PageCount, "rights", "pages")
 	check.within(int64(s.Platform.Polled), 0, 1024, "platform", "polled_endpoints")
 	check.within(int64(s.Retries.SharePercent), 0, 100, "retries", "share_percent")
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -140,6 +140,7 @@
 		Ready:     settings.Rights.Ready,
 		Share:     float64(settings.Rights.SharePercent) / 100,
 		Holders:   settings.Rights.Holders,
+		Refill:    float64(settings.Rights.RefillPercent) / 100,
 		Unguarded: !settings.Rights.Guarded,
 	}
 	keeping := journal.DefaultConfig()
