Take settings again on SIGHUP and on a silent change

Change: Node.Reload checks the settings and applies those of the log; others wait for the next start and the log says so; faulty ones change nothing.

--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -31,6 +31,8 @@
 	ControlPanicked  = Kind{1006, "control thread panicked", logrus.ErrorLevel}
 	DumpWritten      = Kind{1007, "state dump written", logrus.InfoLevel}
 	DrainIncomplete  = Kind{1008, "drain ended with work left", logrus.WarnLevel}
+	Reloaded         = Kind{1009, "settings reloaded", logrus.InfoLevel}
+	ReloadRefused    = Kind{1010, "reloaded settings refused", logrus.ErrorLevel}
 	GenerationTaken  = Kind{2001, "generation taken", logrus.InfoLevel}
 	GenerationFailed = Kind{2002, "generation not readable", logrus.WarnLevel}
 	PlatformDown     = Kind{3001, "platform unavailable", logrus.WarnLevel}
@@ -60,6 +62,7 @@
 func All() []Kind {
 	return []Kind{
 		Started, Draining, Stopped, BadSettings, ListenFailed, ControlPanicked, DumpWritten, DrainIncomplete,
+		Reloaded, ReloadRefused,
 		GenerationTaken, GenerationFailed,
 		PlatformDown, PlatformBack,
 		GrantFailed, RightsReturned, RightsReclaimed, HolderClosed, RightsWrittenOff, RightsDrawn,
@@ -86,6 +89,11 @@
 	return Field{Key: key, Value: int64(value)}
 }
 
+// Flag returns a field that is true or false.
+func Flag(key string, value bool) Field {
+	return Field{Key: key, Value: value}
+}
+
 // Cause returns the field that holds an error.
 func Cause(err error) Field {
 	return Field{Key: "error", Value: err.Error()}
@@ -105,6 +113,11 @@
 	return &Log{entry: logrus.NewEntry(logger).WithFields(fieldsOf(fixed))}
 }
 
+// SetLevel writes events of the level and above from now on.
+func (l *Log) SetLevel(level logrus.Level) {
+	l.entry.Logger.SetLevel(level)
+}
+
 // Emit writes one event.
 func (l *Log) Emit(kind Kind, fields ...Field) {
 	entry := l.entry.WithField("event", kind.Number)
--- a/router/process/launch/launch.go
+++ b/router/process/launch/launch.go
@@ -127,6 +127,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go dumpOnSignal(ctx, router)
+	go reloadOnSignal(ctx, router, func() (node.Settings, error) { return load(path) })
 	if err := router.Run(ctx); err != nil {
 		return ExitFailed
 	}
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -143,6 +143,7 @@
 	locator  *locator
 	metrics  *meter.Metrics
 	sockets  sockets
+	loaded   Settings
 	closed   atomic.Bool
 	leaving  atomic.Bool
 	open     atomic.Int64
@@ -169,6 +170,7 @@
 		Deps:     deps,
 		Settings: settings,
 		Self:     self,
+		loaded:   settings,
 		metrics:  metrics,
 		drain:    make(chan struct{}, 1),
 	}
