Place requests at engines by the expected time to their first token

Cause: prefixes had a holder of the router's own region, and load was open requests for each slot. Change: an engine's load is the prompt tokens sent and not yet begun, with the waiting requests that answers report of other routers, aged; the way and the cached prefix count in seconds too; all routers agree on a prefix's first holder by rendezvous over all regions. Ruled out: more slots a router (limits were not reached).

--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -21,6 +21,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,13 +33,15 @@
 const OpenPerSlot = 2
 
 // Report is an endpoint's own word on its load. Own is the number of requests
-// that this process had open there when the report arrived.
+// that this process had open there when the report arrived, and OwnWaiting those
+// of them that had not begun to answer.
 type Report struct {
 	InFlight   int       `json:"in_flight"`
 	Waiting    int       `json:"waiting"`
 	Slots      int       `json:"slots"`
 	State      vm.State  `json:"state"`
 	Own        int64     `json:"own"`
+	OwnWaiting int64     `json:"own_waiting"`
 	AskedAt    time.Time `json:"asked_at"`
 	ReceivedAt time.Time `json:"received_at"`
 }
@@ -68,6 +71,10 @@
 
 	// InFlight is the number of requests that this process has open there.
 	InFlight atomic.Int64
+	// Unread is the number of prompt tokens of requests that this process has open
+	// there and that have not begun to answer, and Waiting the number of these.
+	Unread  atomic.Int64
+	Waiting atomic.Int64
 	// Report is the last load report, or nil.
 	Report atomic.Pointer[Report]
 	// Leaving is nil while the endpoint may be chosen.
@@ -91,6 +98,7 @@
 	Name         string    `json:"name"`
 	Address      string    `json:"address"`
 	InFlight     int64     `json:"in_flight"`
+	Unread       int64     `json:"unread_tokens"`
 	Report       *Report   `json:"report,omitempty"`
 	Leaving      *Leaving  `json:"leaving,omitempty"`
 	Missed       int64     `json:"missed"`
@@ -134,6 +142,17 @@
 	s.InFlight.Add(-1)
 }
 
+// Send notes a request whose prompt has so many tokens, and returns what is to be
+// called when it begins to answer or ends, at least once.
+func (s *State) Send(tokens int64) (begun func()) {
+	s.Unread.Add(tokens)
+	s.Waiting.Add(1)
+	return sync.OnceFunc(func() {
+		s.Unread.Add(-tokens)
+		s.Waiting.Add(-1)
+	})
+}
+
 // MarkLeaving leaves the endpoint out of choice. A repeated sign extends the
 // hold.
 func (s *State) MarkLeaving(sign Sign, now time.Time) {
@@ -144,6 +163,7 @@
 // was asked for after the hold began.
 func (s *State) Receive(report Report) {
 	report.Own = s.InFlight.Load()
+	report.OwnWaiting = s.Waiting.Load()
 	s.Report.Store(&report)
 	s.Missed.Store(0)
 	if report.State == vm.Leaving {
@@ -184,6 +204,7 @@
 		Name:     s.VM.Name,
 		Address:  s.Address,
 		InFlight: s.InFlight.Load(),
+		Unread:   s.Unread.Load(),
 		Report:   s.Report.Load(),
 		Leaving:  s.Leaving.Load(),
 		Missed:   s.Missed.Load(),
--- a/fleet/request/choose/picker.go
+++ b/fleet/request/choose/picker.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jacinthpaddle.example/fleet/connection/endpoint"
 	"jacinthpaddle.example/fleet/process/random"
 	"jacinthpaddle.example/fleet/process/vm"
@@ -26,9 +24,6 @@
 	DefaultSlots int
 	// PrefixBound bounds the prefixes that are remembered.
 	PrefixBound int
-	// PrefixSlack is the load up to which an endpoint is preferred for its prefix
-	// cache whatever the others' load.
-	PrefixSlack float64
 	// PrefixYield is how far above the choice's load, as a factor, an endpoint
 	// may be loaded to be preferred for its prefix cache.
 	PrefixYield float64
@@ -36,6 +31,8 @@
 	SlowStart time.Duration
 	// Ejection bounds the ejection of failing endpoints.
 	Ejection EjectionConfig
+	// Engine sets how requests with a known prompt are placed.
+	Engine EngineConfig
 }
 
 // Defaults returns the settings for a process at the place.
@@ -47,17 +44,20 @@
 		ReportMaxAge: 5 * time.Second,
 		DefaultSlots: 8,
 		PrefixBound:  4096,
-		PrefixSlack:  0.25,
 		PrefixYield:  2,
 		SlowStart:    10 * time.Second,
 		Ejection:     EjectionDefaults(),
+		Engine:       EngineDefaults(),
 	}
 }
 
-// Request describes the attempt to place. Prefix is zero if there is none.
+// Request describes the attempt to place. Prefix is zero if there is none. Tokens
+// is the size of the prompt if it is known, and Shared that of its prefix.
 type Request struct {
 	Now         time.Time
 	Prefix      uint64
+	Tokens      int64
+	Shared      int64
 	MaxInFlight int
 	Avoid       []*endpoint.State
 }
@@ -99,7 +99,7 @@
 
 func (p *Picker) pickFrom(candidates []Candidate[*endpoint.State], request Request) (*endpoint.State, bool) {
 	for len(candidates) > 0 {
-		index := p.prefer(candidates, request.Prefix)
+		index := p.prefer(candidates, request)
 		state := candidates[index].Target
 		if p.acquire(state, request) {
 			p.remember(request.Prefix, state)
@@ -134,7 +134,7 @@
 		if !state.Usable() || !p.ejector.open(state, request.Now) {
 			continue
 		}
-		candidate := p.candidate(state, request.Now)
+		candidate := p.candidate(state, request)
 		if p.ejector.silent(state) || slices.Contains(request.Avoid, state) {
 			others = append(others, candidate)
 			continue
@@ -152,7 +152,11 @@
 	})
 }
 
-func (p *Picker) candidate(state *endpoint.State, now time.Time) Candidate[*endpoint.State] {
+func (p *Picker) candidate(state *endpoint.State, request Request) Candidate[*endpoint.State] {
+	if request.Tokens > 0 {
+		return p.engine(state, request)
+	}
+	now := request.Now
 	return Candidate[*endpoint.State]{
 		Target: state,
 		Load:   p.load(state, now) / p.share(state, now),
@@ -199,47 +203,21 @@
 
 // prefer returns the index of the endpoint whose cache holds the prefix, unless
 // it is loaded too far above the choice that would be made without.
-func (p *Picker) prefer(candidates []Candidate[*endpoint.State], prefix uint64) int {
+func (p *Picker) prefer(candidates []Candidate[*endpoint.State], request Request) int {
+	if request.Tokens > 0 {
+		return p.quickest(candidates, request)
+	}
 	index := Cheapest(p.policy, candidates)
-	if prefix == 0 {
-		return index
+	held := -1
+	if request.Prefix != 0 {
+		held = p.holder(candidates, request.Prefix).last
 	}
-	held := p.holder(candidates, prefix)
-	if candidates[held].Load > p.config.PrefixSlack &&
-		candidates[held].Cost() > p.config.PrefixYield*candidates[index].Cost() {
+	if held < 0 || candidates[held].Cost() > p.config.PrefixYield*candidates[index].Cost() {
 		return index
 	}
 	return held
 }
 
-// holder returns the index of the endpoint that was last chosen for the prefix.
-// Without one it is an endpoint of the region that all routers there agree on.
-func (p *Picker) holder(candidates []Candidate[*endpoint.State], prefix uint64) int {
-	last, ok := p.affinity.Get(prefix)
-	best := 0
-	var rank uint64
-	for index, candidate := range candidates {
-		if ok && candidate.Target == last {
-			return index
-		}
-		if candidate.Price >= p.config.RemotePrice && candidates[0].Price < p.config.RemotePrice {
-			continue
-		}
-		if score := rendezvous(prefix, candidate.Target.VM.Name); index == 0 || score > rank {
-			best, rank = index, score
-		}
-	}
-	return best
-}
-
-// rendezvous ranks an endpoint for a prefix, in the same way in every process.
-func rendezvous(prefix uint64, name string) uint64 {
-	var digest xxhash.Digest
-	digest.ResetWithSeed(prefix)
-	_, _ = digest.WriteString(name)
-	return digest.Sum64()
-}
-
 func (p *Picker) remember(prefix uint64, state *endpoint.State) {
 	if prefix != 0 {
 		p.affinity.Put(prefix, state)
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -119,6 +119,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	call := r.call(ctx, job, state)
+	begun := state.Send(job.Prompt)
+	defer begun()
 	answer, err := state.Do(ctx, call)
 	if err != nil {
 		r.release(job, state, choose.Judge(nil, err))
@@ -130,7 +132,7 @@
 		r.release(job, state, judgeRefused(answer, err))
 		return Relayed{Err: err, Failure: ownFailure(job, answer)}, failed
 	}
-	done := job.Relay.Relay(ctx, job.Plan, answer, sink)
+	done := job.Relay.Relay(ctx, job.Plan, answer, &beginning{Sink: sink, begun: begun})
 	r.release(job, state, judgeRelayed(answer, done.Err))
 	failed.passed = done.Passed
 	if done.Err != nil {
--- a/fleet/request/serve/pick.go
+++ b/fleet/request/serve/pick.go
@@ -16,6 +16,8 @@
 	state, ok := r.Picker.Pick(members, choose.Request{
 		Now:         r.Clock.Now(),
 		Prefix:      job.Prefix,
+		Tokens:      job.Prompt,
+		Shared:      job.Shared,
 		MaxInFlight: job.Plan.Pool.MaxInFlight,
 		Avoid:       tried,
 	})
--- a/fleet/request/serve/serve.go
+++ b/fleet/request/serve/serve.go
@@ -90,7 +90,9 @@
 }
 
 // Job is an admitted request. Requests with the same Prefix, unless it is zero,
-// are best served by the endpoint that has their prompt prefix cached. Attempt,
+// are best served by the endpoint that has their prompt prefix cached. Prompt is
+// the size of the prompt in tokens if it is known, and Shared that of the prefix.
+// Attempt,
 // unless it is empty, names all attempts. PassFailures has an endpoint's own
 // failure passed on as it is.
 type Job struct {
@@ -98,6 +100,8 @@
 	Attempt      ident.Attempt
 	Plan         admit.Plan
 	Prefix       uint64
+	Prompt       int64
+	Shared       int64
 	Call         endpoint.Call
 	Relay        Relay
 	PassFailures bool
