Give back idle holdings, draw jointly, and try the store as soon as it is back

After a cut of 8 s a failed draw waited up to 8 s more. A draw on the one shared page took three calls, since the held copy was always stale.

Change: accounts take refunds of open holders; holdings above 1.5 times their aim go back; Book.StoreBack; one draw brings all budgets up; a conflict's own object is used for the next try.

--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -215,6 +215,26 @@
 	return p.shut(request.Budget, request.Holder, request.Returned+unknown)
 }
 
+// Refund asks to raise what an open holder has given back to Total.
+type Refund struct {
+	Budget string
+	Holder ident.Incarnation
+	Total  int64
+}
+
+// Refund takes back credits of an open holder and reports whether the page
+// changed.
+func (p Page) Refund(request Refund) bool {
+	holders := p.Accounts[request.Budget].Holders
+	record, found := holders[request.Holder]
+	if !found || record.Closed || record.Returned >= request.Total {
+		return false
+	}
+	record.Returned = request.Total
+	holders[request.Holder] = record
+	return true
+}
+
 // shut closes an open record.
 func (p Page) shut(budget string, holder ident.Incarnation, returned int64) bool {
 	holders := p.Accounts[budget].Holders
--- a/fleet/process/page/page.go
+++ b/fleet/process/page/page.go
@@ -68,11 +68,21 @@
 		if !settleable(err) {
 			return held, account.Page{}, err
 		}
-		fresh = false
+		held, fresh = conflicting(held, err)
 	}
 	return held, account.Page{}, &ContendedError{Name: held.Name, Tries: MaxTries}
 }
 
+// conflicting returns the object that won over a write, and whether the store sent
+// it along with the conflict.
+func conflicting(held store.Object, err error) (store.Object, bool) {
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) || conflict.Value == nil {
+		return held, false
+	}
+	return store.Object{Name: held.Name, Version: conflict.Current, Value: conflict.Value}, true
+}
+
 // settleable reports whether reading back tells what to do next.
 func settleable(err error) bool {
 	var conflict *store.ConflictError
--- a/fleet/process/rights/book.go
+++ b/fleet/process/rights/book.go
@@ -43,10 +43,12 @@
 // orders that follow.
 //
 // A view passed to Stored must be of a page no older than any page passed
-// before. Window is the time constant of the demand estimates.
+// before. Window is the time constant of the demand estimates. Joint is true while
+// draws are made anyway, so that one more costs no further call.
 type Book[S Sizer] struct {
 	Self     ident.Incarnation
 	Window   time.Duration
+	Joint    bool
 	Sizer    S
 	Purses   *Purses
 	Peers    []ident.Incarnation
@@ -138,6 +140,7 @@
 	if view.Found && !view.Record.Closed {
 		holding.grant(view.Record.Granted)
 		holding.confirm(view.Record)
+		holding.RefundSeen = max(holding.RefundSeen, view.Record.Returned)
 		holding.release()
 	}
 	holding.Round.settle(view.Remaining)
@@ -158,14 +161,32 @@
 	return b.search(holding, now)
 }
 
+// StoreBack says that the store answers again, so that what waits for its next
+// try need not wait any longer.
+func (b *Book[S]) StoreBack() {
+	for _, holding := range b.Holdings {
+		holding.Away = false
+		holding.Failures = 0
+		holding.RetryAt = time.Time{}
+		holding.replenish()
+	}
+}
+
 // Tick estimates demand, refills what runs low, looks after guards and repeats
 // what was not confirmed. It is called about once a second.
 func (b *Book[S]) Tick(now time.Time) Orders {
 	var orders Orders
-	for _, budget := range slices.Sorted(maps.Keys(b.Holdings)) {
+	budgets := slices.Sorted(maps.Keys(b.Holdings))
+	joint := false
+	for _, budget := range budgets {
+		holding := b.Holdings[budget]
+		holding.Demand.Observe(holding.Purse.Level().Spent+holding.Refused, now)
+		joint = joint || b.Sizer.Draw(b.situation(holding)) > 0
+	}
+	b.Joint = joint
+	defer func() { b.Joint = false }()
+	for _, budget := range budgets {
 		holding := b.Holdings[budget]
-		level := holding.Purse.Level()
-		holding.Demand.Observe(level.Spent+holding.Refused, now)
 		orders.Add(b.repeat(holding, now))
 		if holding.Closing {
 			orders.Add(b.closing(holding, now))
@@ -175,6 +196,7 @@
 		orders.Add(b.raise(holding, now))
 		orders.Add(b.draw(holding, now))
 		orders.Add(b.search(holding, now))
+		orders.Add(b.refund(holding, now))
 	}
 	return orders
 }
@@ -200,7 +222,7 @@
 	if away {
 		return Orders{}
 	}
-	holding.Returned = holding.Parked() + holding.Purse.Take(math.MaxInt64)
+	holding.Returned = holding.Refunded + holding.Parked() + holding.Purse.Take(math.MaxInt64)
 	holding.Closing = true
 	return b.closing(holding, now)
 }
--- a/fleet/process/rights/message.go
+++ b/fleet/process/rights/message.go
@@ -73,6 +73,7 @@
 // account pages and messages to send. All of it may be lost or repeated.
 type Orders struct {
 	Draws     []account.Draw
+	Refunds   []account.Refund
 	Returns   []account.Return
 	Transfers []Transfer
 	Receipts  []Receipt
@@ -83,6 +84,7 @@
 // Add appends the other orders.
 func (o *Orders) Add(other Orders) {
 	o.Draws = append(o.Draws, other.Draws...)
+	o.Refunds = append(o.Refunds, other.Refunds...)
 	o.Returns = append(o.Returns, other.Returns...)
 	o.Transfers = append(o.Transfers, other.Transfers...)
 	o.Receipts = append(o.Receipts, other.Receipts...)
--- /dev/null
+++ b/fleet/process/rights/refund_test.go
@@ -0,0 +1,84 @@
+package rights_test
+
+import (
+	"testing"
+	"time"
+
+	"jacinthpaddle.example/fleet/process/account"
+	"jacinthpaddle.example/fleet/process/rights"
+)
+
+// idle returns a book whose holder has the credits and no demand.
+func idle(now time.Time, credits int64) *rights.Book[rights.DemandShrinking] {
+	sizer := rights.DemandShrinking{Horizon: 10 * time.Second, Share: 1, Holders: 1, Refill: 0.9, Unguarded: true}
+	book := rights.New("a", sizer, &rights.Purses{})
+	book.SetPurchased(budget, 10_000)
+	record := account.Holder{Granted: credits}
+	book.Stored(budget, account.View{Found: true, Record: record, Remaining: 10_000 - credits}, now)
+	return book
+}
+
+// A process that was busy and is no more must not keep what others could spend,
+// and what a crash would lose.
+func TestSurplusIsRefunded(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := idle(now, 1_000)
+	book.Holding(budget).Demand.Rate = 20
+	book.Holding(budget).Demand.Since = now
+	orders := book.Tick(now)
+	if got, want := len(orders.Refunds), 1; got != want {
+		t.Fatalf("refunds: got %d, want %d", got, want)
+	}
+	if got, want := orders.Refunds[0].Total, int64(800); got != want {
+		t.Errorf("refunded: got %d, want %d", got, want)
+	}
+	if got, want := book.Purses.Get(budget).Level().Available, int64(200); got != want {
+		t.Errorf("available: got %d, want %d", got, want)
+	}
+}
+
+func TestRefundIsRepeatedUntilStored(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := idle(now, 1_000)
+	total := book.Tick(now).Refunds[0].Total
+	book.StoreFailed(budget, now)
+	later := now.Add(rights.MaxStoreRetry)
+	orders := book.Tick(later)
+	if len(orders.Draws) > 0 {
+		// A failed call may have granted credits, so that the record is read first.
+		book.Stored(budget, account.View{Found: true, Record: account.Holder{Granted: 1_000}}, later)
+		orders = book.Tick(later)
+	}
+	if len(orders.Refunds) != 1 || orders.Refunds[0].Total != total {
+		t.Fatalf("refunds after a failure: got %+v, want a total of %d", orders.Refunds, total)
+	}
+	record := account.Holder{Granted: 1_000, Returned: total}
+	book.Stored(budget, account.View{Found: true, Record: record}, later)
+	if got := book.Tick(later.Add(time.Second)).Refunds; len(got) != 0 {
+		t.Errorf("refunds once stored: got %+v, want none", got)
+	}
+}
+
+func TestGuardedSurplusStays(t *testing.T) {
+	sizer := rights.NewDemandShrinking(8)
+	if got := sizer.Surplus(rights.Situation{Held: 1_000}); got != 0 {
+		t.Errorf("surplus: got %d, want 0", got)
+	}
+}
+
+// After a long outage the next try was up to 16 s away.
+func TestStoreBackEndsTheWait(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := idle(now, 0)
+	for range 6 {
+		book.StoreFailed(budget, now)
+	}
+	book.Want(budget, 100, now)
+	if got := len(book.Tick(now.Add(time.Second)).Draws); got != 0 {
+		t.Fatalf("draws while the store is away: got %d, want 0", got)
+	}
+	book.StoreBack()
+	if got := len(book.Want(budget, 100, now.Add(2*time.Second)).Draws); got != 1 {
+		t.Errorf("draws once it is back: got %d, want 1", got)
+	}
+}
--- a/fleet/process/rights/shortage.go
+++ b/fleet/process/rights/shortage.go
@@ -149,6 +149,27 @@
 	}}}
 }
 
+// refund gives back what the sizing policy does not want to keep. It is ordered
+// again until the store has it: the credits have left the purse by then.
+func (b *Book[S]) refund(holding *Holding, now time.Time) Orders {
+	if holding.Drawing || holding.Shut || !holding.Opened || now.Before(holding.RetryAt) {
+		return Orders{}
+	}
+	if !holding.Away {
+		surplus := b.Sizer.Surplus(b.situation(holding))
+		holding.Refunded += holding.Purse.Take(surplus)
+	}
+	if holding.Refunded <= holding.RefundSeen {
+		return Orders{}
+	}
+	holding.Drawing = true
+	return Orders{Refunds: []account.Refund{{
+		Budget: holding.Budget,
+		Holder: b.Self,
+		Total:  holding.Refunded,
+	}}}
+}
+
 // amount returns how many credits to ask of the store. A store that had none
 // left is only asked for requests that wait. A holder that nobody can guard
 // takes what it exposes anyway.
@@ -177,5 +198,6 @@
 		Purchased: holding.Purchased,
 		Remaining: remaining,
 		Holders:   len(holding.Others) + 1,
+		Joint:     b.Joint,
 	}
 }
--- a/fleet/process/rights/sizing.go
+++ b/fleet/process/rights/sizing.go
@@ -16,6 +16,8 @@
 	Purchased int64
 	Remaining int64
 	Holders   int
+	// Joint says that other budgets are drawn on anyway.
+	Joint bool
 }
 
 // Sizer is the policy for how many rights a holder keeps.
@@ -28,6 +30,8 @@
 	// Part is how much of what the store has left one draw may take at most, or
 	// zero without a bound.
 	Part() float64
+	// Surplus returns how many credits to give back to the store now.
+	Surplus(Situation) int64
 	// Trades reports whether rights move between holders.
 	Trades() bool
 	// Guarded reports whether peers guard what is not exposed.
@@ -41,6 +45,14 @@
 // HalfRefill draws again once half of the aim is used.
 const HalfRefill = 0.5
 
+// JointRefill is the part of the aim under which a holder draws again when others
+// do: accounts share objects, and one update serves them all.
+const JointRefill = 0.95
+
+// SurplusFactor is how many times its aim a holder may hold before it gives back
+// the rest. Less would have it draw again soon.
+const SurplusFactor = 1.5
+
 // EvenSplit grants each of a fixed number of holders an equal part of what was
 // purchased, and nothing else.
 type EvenSplit struct {
@@ -62,6 +74,11 @@
 	return 0
 }
 
+// Surplus implements Sizer.
+func (EvenSplit) Surplus(Situation) int64 {
+	return 0
+}
+
 // Trades implements Sizer.
 func (EvenSplit) Trades() bool {
 	return false
@@ -93,6 +110,11 @@
 	return 0
 }
 
+// Surplus implements Sizer.
+func (DemandHorizon) Surplus(Situation) int64 {
+	return 0
+}
+
 // Trades implements Sizer.
 func (DemandHorizon) Trades() bool {
 	return true
@@ -138,7 +160,11 @@
 	if s.Demand == 0 {
 		wanted = MinNeeds * s.Need
 	}
-	return refill(s, min(wanted, max(part, s.Need)), d.Refill)
+	threshold := d.Refill
+	if s.Joint && d.Unguarded {
+		threshold = max(threshold, JointRefill)
+	}
+	return refill(s, min(wanted, max(part, s.Need)), threshold)
 }
 
 // Exposure implements Sizer.
@@ -152,6 +178,16 @@
 	return d.Share / float64(max(1, d.Holders))
 }
 
+// Surplus implements Sizer. What is held beyond the aim is of more use elsewhere
+// and would be lost with this process; guarded credits are not.
+func (d DemandShrinking) Surplus(s Situation) int64 {
+	aim := forDuration(s.Demand, d.Horizon)
+	if !d.Unguarded || s.Need > 0 || float64(s.Held) <= SurplusFactor*float64(aim) {
+		return 0
+	}
+	return s.Held - aim
+}
+
 // Trades implements Sizer.
 func (DemandShrinking) Trades() bool {
 	return true
@@ -170,6 +206,9 @@
 // refill returns what brings the held credits up to the aim once they are
 // under the part of it or under the need.
 func refill(s Situation, aim int64, part float64) int64 {
+	if part == 0 {
+		part = HalfRefill
+	}
 	if s.Held >= max(s.Need, int64(math.Ceil(part*float64(aim)))) {
 		return 0
 	}
--- a/fleet/process/store/store.go
+++ b/fleet/process/store/store.go
@@ -81,6 +81,8 @@
 	Name    string
 	Want    Version
 	Current Version
+	// Value is that of the current version where the store sent it, or nil.
+	Value []byte
 }
 
 // Error implements error.
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -134,8 +134,8 @@
 		l.down = true
 		return
 	}
-	now := l.clock.Now()
-	if l.down {
+	now, back := l.clock.Now(), l.down
+	if back {
 		l.log.Emit(event.PlatformBack)
 		l.back = now
 	}
@@ -144,7 +144,7 @@
 		list = vm.Kept(list, l.held)
 	}
 	l.held = list
-	l.thread.Tell(Listed{List: list})
+	l.thread.Tell(Listed{List: list, Back: back})
 }
 
 // watcher follows the generation pointer in the store. In a large fleet a few
--- a/router/process/node/rights.go
+++ b/router/process/node/rights.go
@@ -143,6 +143,11 @@
 		page.next.Draws = append(page.next.Draws, draw)
 		s.dispatch(page)
 	}
+	for _, request := range orders.Refunds {
+		page := s.page(request.Budget)
+		page.next.Refunds = append(page.next.Refunds, request)
+		s.dispatch(page)
+	}
 	for _, request := range orders.Returns {
 		page := s.page(request.Budget)
 		page.next.Returns = replaceReturn(page.next.Returns, request)
@@ -194,10 +199,10 @@
 }
 
 func (j PageJob) empty() bool {
-	return len(j.Draws)+len(j.Returns)+len(j.Reclaims)+len(j.WriteOffs)+len(j.Reads) == 0
+	return len(j.Draws)+len(j.Refunds)+len(j.Returns)+len(j.Reclaims)+len(j.WriteOffs)+len(j.Reads) == 0
 }
 
-// drawn returns the budgets in which this process draws or returns rights.
+// drawn returns the budgets in which this process draws or gives back rights.
 func (j PageJob) drawn() []string {
 	var names []string
 	for _, draw := range j.Draws {
@@ -206,6 +211,9 @@
 	for _, request := range j.Returns {
 		names = append(names, request.Budget)
 	}
+	for _, request := range j.Refunds {
+		names = append(names, request.Budget)
+	}
 	slices.Sort(names)
 	return slices.Compact(names)
 }
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -42,6 +42,7 @@
 	Held      store.Object
 	Draws     []account.Draw
 	Returns   []account.Return
+	Refunds   []account.Refund
 	Reclaims  []account.Reclaim
 	WriteOffs []RecoveryKey
 	Reads     []string
@@ -57,6 +58,9 @@
 	for _, request := range j.Returns {
 		changed = page.Return(request) || changed
 	}
+	for _, request := range j.Refunds {
+		changed = page.Refund(request) || changed
+	}
 	for _, reclaim := range j.Reclaims {
 		changed = page.Reclaim(reclaim) || changed
 	}
--- a/router/process/node/version.go
+++ b/router/process/node/version.go
@@ -34,9 +34,11 @@
 		event.Text("digest", m.Generation.Digest))
 }
 
-// Listed is the platform's list of VMs.
+// Listed is the platform's list of VMs. Back says that the platform was away
+// before.
 type Listed struct {
 	List []vm.VM
+	Back bool
 }
 
 // Apply implements control.Message.
@@ -46,6 +48,11 @@
 	state.Membership.SetPlatform(entries, state.Settings.peerAddress)
 	state.endpointsChanged()
 	state.fleetChanged()
+	if m.Back {
+		state.Book.StoreBack()
+		state.order(state.Book.Tick(state.Clock.Now()))
+		state.serveAll()
+	}
 }
 
 func (s *State) endpointsChanged() {
