--- /dev/null
+++ b/fleet/request/admit/path_test.go
@@ -0,0 +1,101 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jacinthpaddle.example/fleet/request/admit"
+	"jacinthpaddle.example/fleet/request/outcome"
+	"jacinthpaddle.example/fleet/version/declare"
+	"jacinthpaddle.example/fleet/version/snapshot"
+)
+
+func view() *snapshot.Snapshot {
+	return snapshot.New(1, declare.Set{
+		Teams: []declare.Team{
+			{Name: "hall", Budget: "hall", KeyDigests: []string{snapshot.KeyDigest("hall-key")}},
+			{Name: "free", KeyDigests: []string{snapshot.KeyDigest("free-key")}},
+		},
+		Budgets: []declare.Budget{{Name: "hall", Purchased: 1_000}},
+		Pools: []declare.Pool{
+			{Name: "engines", Kind: declare.EndpointPool, TokensPerEvent: 7},
+			{Name: "desk", Kind: declare.EndpointPool},
+		},
+		Paths: []declare.Path{
+			{Name: "drafts", Host: "a.example", Prefix: "/draft/", Kind: declare.StreamPath, Resumable: true,
+				Backends: []declare.Backend{{Pool: "engines", Weight: 1}}, Timeout: 12 * time.Second,
+				Goal: time.Second, MaxGap: 500 * time.Millisecond, Attempts: 2},
+			{Name: "once", Host: "a.example", Prefix: "/draft/once/", Kind: declare.UnsafePath,
+				Backends: []declare.Backend{{Pool: "desk", Weight: 1}}, Timeout: time.Second, Attempts: 1},
+			{Name: "open", Host: "a.example", Prefix: "/", Kind: declare.SafePath, Public: true,
+				Backends: []declare.Backend{{Pool: "desk", Weight: 9}, {Pool: "engines", Weight: 1}}, Timeout: time.Second, Attempts: 2},
+		},
+	})
+}
+
+func TestPath(t *testing.T) {
+	tests := []struct {
+		name   string
+		target admit.Target
+		path   string
+		code   outcome.Code
+	}{
+		{"longest prefix", admit.Target{Host: "a.example", Path: "/draft/once/7", Key: "hall-key"}, "once", ""},
+		{"shorter prefix", admit.Target{Host: "a.example", Path: "/draft/7", Key: "hall-key"}, "drafts", ""},
+		{"prefix without its slash", admit.Target{Host: "a.example", Path: "/draft"}, "open", ""},
+		{"public path without a key", admit.Target{Host: "a.example", Path: "/7"}, "open", ""},
+		{"unknown host", admit.Target{Host: "b.example", Path: "/draft/7", Key: "hall-key"}, "", outcome.NotFound},
+		{"unknown key", admit.Target{Host: "a.example", Path: "/draft/7", Key: "x"}, "", outcome.Unauthorized},
+		{"no key", admit.Target{Host: "a.example", Path: "/draft/7"}, "", outcome.Unauthorized},
+		{"cost out of range", admit.Target{Host: "a.example", Path: "/draft/7", Key: "hall-key", Input: 1 << 62, MaxOutput: 1 << 62}, "", outcome.BadRequest},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			plan, err := admit.Path(view(), test.target)
+			var refused *outcome.Error
+			if errors.As(err, &refused) && refused.Code != test.code {
+				t.Errorf("code: got %s, want %s", refused.Code, test.code)
+			}
+			if plan.Target != test.path {
+				t.Errorf("path: got %q, want %q (%v)", plan.Target, test.path, err)
+			}
+		})
+	}
+}
+
+func TestPathPlans(t *testing.T) {
+	stream, _ := admit.Path(view(), admit.Target{Host: "a.example", Path: "/draft/7", Key: "hall-key", Input: 100, MaxOutput: 20})
+	if got, want := stream.Reserve, int64(120); got != want {
+		t.Errorf("reserve: got %d, want %d", got, want)
+	}
+	if !stream.Idempotent || !stream.Resumable || !stream.EndsWithCaller || stream.TokensPerEvent != 7 {
+		t.Errorf("stream: got %+v", stream)
+	}
+	if got, want := stream.Stall, 3*time.Second; got != want {
+		t.Errorf("stall: got %s, want %s", got, want)
+	}
+	once, _ := admit.Path(view(), admit.Target{Host: "a.example", Path: "/draft/once/7", Key: "hall-key"})
+	if once.Idempotent || once.EndsWithCaller || once.Stall != once.Timeout {
+		t.Errorf("work that may not be repeated: got %+v", once)
+	}
+	free, _ := admit.Path(view(), admit.Target{Host: "a.example", Path: "/draft/7", Key: "free-key", Input: 100, MaxOutput: 20})
+	if got := free.Reserve; got != 0 {
+		t.Errorf("reserve of a team without a budget: got %d, want 0", got)
+	}
+}
+
+func TestPathSplitsByWeight(t *testing.T) {
+	counts := make(map[string]int)
+	for draw := range uint64(1_000) {
+		plan, err := admit.Path(view(), admit.Target{Host: "a.example", Path: "/7", Draw: draw})
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts[plan.Pool.Name]++
+	}
+	if got, want := counts["desk"], 900; got != want {
+		t.Errorf("requests to desk: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/fleet/request/locate/near_test.go
@@ -0,0 +1,60 @@
+package locate_test
+
+import (
+	"slices"
+	"testing"
+
+	"jacinthpaddle.example/fleet/process/member"
+	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/fleet/request/locate"
+)
+
+func at(region, zone, name string, state member.State) member.Member {
+	made := router(region, 1, state)
+	made.Incarnation = "i-" + made.Incarnation + "-" + member.Member{VM: name}.Incarnation
+	made.VM, made.CallerAddress, made.AvailabilityZone = name, name, zone
+	return made
+}
+
+func TestNear(t *testing.T) {
+	place := vm.Place{Region: "western", AvailabilityZone: "hall"}
+	tests := []struct {
+		name    string
+		members []member.Member
+		want    []string
+	}{
+		{"own zone first", []member.Member{
+			at("western", "hall", "a", member.Live), at("western", "yard", "b", member.Live), at("central", "depot", "c", member.Live),
+		}, []string{"a"}},
+		{"own region next", []member.Member{
+			at("western", "yard", "b", member.Live), at("central", "depot", "c", member.Live),
+		}, []string{"b"}},
+		{"anywhere at last", []member.Member{at("central", "depot", "c", member.Live)}, []string{"c"}},
+		{"no draining, gone or suspected ones", []member.Member{
+			at("western", "hall", "a", member.Live), at("western", "hall", "b", member.Live), at("western", "hall", "c", member.Draining),
+			at("western", "hall", "d", member.Gone), at("western", "hall", "e", member.Suspected),
+		}, []string{"a", "b"}},
+		{"suspected ones if they are most", []member.Member{
+			at("western", "hall", "a", member.Live), at("western", "hall", "b", member.Suspected), at("western", "hall", "c", member.Suspected),
+		}, []string{"a", "b", "c"}},
+		{"nobody", nil, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := locate.Near(test.members, place); !slices.Equal(got, test.want) {
+				t.Errorf("addresses: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// A process that was started anew at an address is live there: its predecessor,
+// which is still suspected, must not show beside it.
+func TestNearLeavesOutPredecessors(t *testing.T) {
+	old, fresh := at("western", "hall", "a", member.Suspected), at("western", "hall", "a", member.Live)
+	old.Incarnation = "old"
+	got := locate.Near([]member.Member{old, fresh}, vm.Place{Region: "western", AvailabilityZone: "hall"})
+	if want := []string{"a"}; !slices.Equal(got, want) {
+		t.Errorf("addresses: got %v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/fleet/request/retry/budgets_test.go
@@ -0,0 +1,66 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"jacinthpaddle.example/fleet/connection/endpoint"
+	"jacinthpaddle.example/fleet/process/clock"
+	"jacinthpaddle.example/fleet/process/journal"
+	"jacinthpaddle.example/fleet/request/retry"
+)
+
+// All processes together, each of which retries whenever it may, stay within the
+// share of the requests and the slack in any window.
+func TestFleetBudgetHoldsOverAllProcesses(t *testing.T) {
+	const (
+		share  = 0.1
+		slack  = 54.0
+		window = 10 * time.Second
+	)
+	for _, processes := range []int{1, 7, 50} {
+		clk := clock.NewFake()
+		var budgets []*retry.Budgets
+		for range processes {
+			config := retry.FleetBudget(share, slack, window, processes)
+			budgets = append(budgets, retry.NewBudgets(config, clk))
+		}
+		requests, retries := 0, 0
+		for begun := clk.Now(); clk.Now().Sub(begun) < window; clk.Advance(100 * time.Millisecond) {
+			for _, own := range budgets {
+				own.Of("pool").Request(clk.Now())
+				requests++
+				for own.Of("pool").Take(clk.Now()) {
+					retries++
+				}
+			}
+		}
+		if got, want := float64(retries), share*float64(requests)+slack; got > want {
+			t.Errorf("%d processes: got %v retries, want at most %v", processes, got, want)
+		}
+	}
+}
+
+func TestBudgetsAreApartByPool(t *testing.T) {
+	budgets := retry.NewBudgets(retry.BudgetConfig{Burst: 1}, clock.NewFake())
+	if !budgets.Of("a").Take(start) || !budgets.Of("b").Take(start) || budgets.Of("a").Take(start) {
+		t.Error("a retry at one pool took that of another")
+	}
+	budgets.SetConfig(retry.BudgetConfig{Burst: 0})
+	if budgets.Of("c").Take(start) {
+		t.Error("a new budget has the old size")
+	}
+}
+
+// Attempts that an endpoint refused do not count as begun.
+func TestDecideBoundsBegunAttempts(t *testing.T) {
+	policy := retry.Policy{MaxAttempts: 9}
+	failure := retry.Failure{Idempotent: true, Moment: endpoint.AfterHeaders, Said: journal.NotRun, Attempts: 3, MaxBegun: 1}
+	if got := policy.Decide(failure, start); got.Action != retry.Again || got.Begun != 0 {
+		t.Errorf("refused attempts: got %+v, want another attempt", got)
+	}
+	failure.Said = journal.Ran
+	if got := policy.Decide(failure, start); got.Action != retry.Fail || got.Reason != retry.TooMany {
+		t.Errorf("attempt that ran: got %+v, want no other", got)
+	}
+}
--- /dev/null
+++ b/fleet/request/serve/events_test.go
@@ -0,0 +1,171 @@
+package serve_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jacinthpaddle.example/fleet/connection/endpoint"
+	"jacinthpaddle.example/fleet/process/clock"
+	"jacinthpaddle.example/fleet/process/journal"
+	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/fleet/request/outcome"
+	"jacinthpaddle.example/fleet/request/serve"
+	"jacinthpaddle.example/fleet/version/declare"
+)
+
+// numbered returns the event with the id.
+func numbered(id int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+}
+
+// script is the answers of endpoints, one an attempt. Each is cut off after its
+// content unless it is whole. Asked holds the last event that each attempt named.
+type script struct {
+	mu      sync.Mutex
+	answers []scripted
+	asked   []string
+}
+
+type scripted struct {
+	status  int
+	content string
+	whole   bool
+}
+
+func (s *script) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	s.mu.Lock()
+	answer := s.answers[len(s.asked)]
+	s.asked = append(s.asked, request.Header.Get(serve.LastEventHeader))
+	s.mu.Unlock()
+	writer.Header().Set("Content-Type", "text/event-stream")
+	writer.WriteHeader(answer.status)
+	_, _ = writer.Write([]byte(answer.content))
+	if !answer.whole {
+		_ = http.NewResponseController(writer).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// newEventRig returns a rig before two endpoints that follow the script.
+func newEventRig(t *testing.T, answers ...scripted) (*rig, *script) {
+	t.Helper()
+	script := &script{answers: answers}
+	made := newRig(t, script.ServeHTTP)
+	made.plan.TokensPerEvent = 4
+	made.plan.Floor = 10
+	made.plan.Resumable = true
+	made.plan.Attempts = 2
+	second := httptest.NewServer(script)
+	t.Cleanup(second.Close)
+	host, port, _ := net.SplitHostPort(second.Listener.Addr().String())
+	number, _ := strconv.Atoi(port)
+	list := []vm.VM{
+		{Name: "runner-1", Address: host, Pool: "runners", State: vm.Live},
+		{Name: "runner-2", Address: host, Port: number, Pool: "runners", State: vm.Live},
+	}
+	table := endpoint.NewTable(endpoint.Defaults(vm.Place{}, "self"), clock.New())
+	table.Update(list, []declare.Pool{made.plan.Pool})
+	made.runner.Endpoints = table
+	made.runner.Slots = serve.NewSlots(clock.New(), table, time.Minute)
+	return made, script
+}
+
+func TestEventsGoOnAtAnotherEndpoint(t *testing.T) {
+	made, script := newEventRig(t,
+		scripted{http.StatusOK, numbered(1) + numbered(2) + "id: 3\ndata: pie", false},
+		scripted{http.StatusOK, numbered(2) + numbered(3) + numbered(4), true},
+	)
+	if err := made.run(&serve.Events{MaxBytes: 1 << 20}); err != nil {
+		t.Fatalf("run: got %v, want no error", err)
+	}
+	want := numbered(1) + numbered(2) + numbered(3) + numbered(4)
+	if got := strings.Join(made.sink.parts, ""); got != want {
+		t.Errorf("stream: got %q, want %q", got, want)
+	}
+	if got, want := script.asked[1], "2"; got != want {
+		t.Errorf("last event named to the second endpoint: got %q, want %q", got, want)
+	}
+	if got, want := made.bill(t).Charge, int64(10+4*4); got != want {
+		t.Errorf("charge: got %d, want %d", got, want)
+	}
+}
+
+func TestEventsThatMayNotGoOnAreCut(t *testing.T) {
+	made, script := newEventRig(t, scripted{http.StatusOK, numbered(1), false})
+	made.plan.Resumable = false
+	made.plan.Idempotent = false
+	err := made.run(&serve.Events{MaxBytes: 1 << 20})
+	var typed *outcome.Error
+	if !errors.As(err, &typed) || typed.Run != journal.Ran {
+		t.Fatalf("run: got %v, want an error with run %s", err, journal.Ran)
+	}
+	if made.sink.ended {
+		t.Error("a stream that broke off was ended as if it were whole")
+	}
+	if got, want := len(script.asked), 1; got != want {
+		t.Errorf("attempts: got %d, want %d", got, want)
+	}
+}
+
+func TestEventsStayWithinTheirAttempts(t *testing.T) {
+	cut := scripted{http.StatusOK, "", false}
+	made, script := newEventRig(t, cut, cut, cut)
+	made.runner.Policy.MaxAttempts = 3
+	if err := made.run(&serve.Events{MaxBytes: 1 << 20}); err == nil {
+		t.Error("run: got no error, want one")
+	}
+	if got, want := len(script.asked), 2; got != want {
+		t.Errorf("attempts: got %d, want %d", got, want)
+	}
+}
+
+// An endpoint's own failure reaches the caller as it is once no attempt is left.
+func TestFailureIsPassedOn(t *testing.T) {
+	failure := scripted{http.StatusInternalServerError, "broken", true}
+	made, _ := newEventRig(t, failure, failure)
+	call := endpoint.Call{Method: http.MethodGet, Path: "/", Header: http.Header{}}
+	job := serve.Job{Request: "self-1", Plan: made.plan, Call: call, Relay: serve.Verbatim{MaxBytes: 100}, PassFailures: true}
+	if err := made.runner.Run(t.Context(), job, made.sink); err != nil {
+		t.Fatalf("run: got %v, want no error", err)
+	}
+	if got, want := made.sink.result.Status, http.StatusInternalServerError; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	if got, want := string(made.sink.result.Body), "broken"; got != want {
+		t.Errorf("body: got %q, want %q", got, want)
+	}
+}
+
+func TestVerbatimIsWholeOrFails(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer scripted
+		want   string
+	}{
+		{"whole", scripted{http.StatusOK, "hello", true}, "hello"},
+		{"cut", scripted{http.StatusOK, "hel", false}, ""},
+		{"too large", scripted{http.StatusOK, strings.Repeat("x", 101), true}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			made, _ := newEventRig(t, test.answer)
+			made.plan.Idempotent = false
+			err := made.run(serve.Verbatim{MaxBytes: 100})
+			if got := string(made.sink.result.Body); got != test.want {
+				t.Errorf("body: got %q, want %q", got, test.want)
+			}
+			if (err == nil) != (test.want != "") {
+				t.Errorf("error: got %v", err)
+			}
+		})
+	}
+}
