--- a/fleet/request/serve/events_test.go
+++ b/fleet/request/serve/events_test.go
@@ -62,6 +62,7 @@
 	made := newRig(t, script.ServeHTTP)
 	made.plan.TokensPerEvent = 4
 	made.plan.Floor = 10
+	made.plan.Streamed = true
 	made.plan.Resumable = true
 	made.plan.Attempts = 2
 	second := httptest.NewServer(script)
@@ -108,6 +109,9 @@
 	if !errors.As(err, &typed) || typed.Run != journal.Ran {
 		t.Fatalf("run: got %v, want an error with run %s", err, journal.Ran)
 	}
+	if got, want := made.bill(t).Charge, int64(10+4); got != want {
+		t.Errorf("charge: got %d, want %d for the prompt and one event", got, want)
+	}
 	if made.sink.ended {
 		t.Error("a stream that broke off was ended as if it were whole")
 	}
--- a/router/process/node/rights.go
+++ b/router/process/node/rights.go
@@ -274,7 +274,8 @@
 	level := holding.Purse.Level()
 	s.Log.Emit(event.RightsDrawn, event.Text("budget", budget), event.Number("purchased", holding.Purchased),
 		event.Number("granted", holding.Granted), event.Number("held", level.Available),
-		event.Number("spent", level.Spent), event.Number("remaining", holding.Remaining),
+		event.Number("reserved", level.Reserved), event.Number("spent", level.Spent),
+		event.Number("refunded", holding.Refunded), event.Number("remaining", holding.Remaining),
 		event.Number("demand_per_second", int64(holding.Demand.Rate)))
 }
 
