Refill from two processes of each zone in a large fleet; keep waits on the steady clock

Change: Book.SetBankers; a holder refills from, and gives back to, the banker; one that waits turns to the store after 500 ms; endpoint.Instant. Tests: banker_test.go, TestEjectionKeepsTheSteadyClock (fails on Unix time).

--- /dev/null
+++ b/fleet/connection/endpoint/instant.go
@@ -0,0 +1,25 @@
+package endpoint
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Instant is a time that traffic changes, zero meaning never. It keeps the reading
+// of the steady clock, so that a jump of the time of day changes no wait.
+type Instant struct {
+	held atomic.Pointer[time.Time]
+}
+
+// Load returns the time.
+func (i *Instant) Load() time.Time {
+	if held := i.held.Load(); held != nil {
+		return *held
+	}
+	return time.Time{}
+}
+
+// Store sets the time.
+func (i *Instant) Store(at time.Time) {
+	i.held.Store(&at)
+}
--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -63,7 +63,7 @@
 }
 
 // State is what this process knows of one endpoint. VM, Address and Client
-// never change. Times are in nanoseconds of Unix time, and zero means never.
+// never change.
 type State struct {
 	VM      vm.VM
 	Address string
@@ -86,11 +86,11 @@
 	// Ejections is the number of ejections in a row without a success.
 	Ejections atomic.Int64
 	// EjectedUntil is when the next trial request may be sent.
-	EjectedUntil atomic.Int64
+	EjectedUntil Instant
 	// Trial is true while a trial request is open.
 	Trial atomic.Bool
 	// SlowStartSince is when the endpoint began to take a growing share.
-	SlowStartSince atomic.Int64
+	SlowStartSince Instant
 }
 
 // Dump is a reading of a State for operators.
@@ -210,8 +210,6 @@
 		Missed:   s.Missed.Load(),
 		Failures: s.Failures.Load(),
 	}
-	if until := s.EjectedUntil.Load(); until != 0 {
-		dump.EjectedUntil = time.Unix(0, until).UTC()
-	}
+	dump.EjectedUntil = s.EjectedUntil.Load().UTC()
 	return dump
 }
--- a/fleet/connection/endpoint/table.go
+++ b/fleet/connection/endpoint/table.go
@@ -160,7 +160,7 @@
 		Client:  NewClient(address, t.config, t.clock),
 	}
 	if !first {
-		state.SlowStartSince.Store(now.UnixNano())
+		state.SlowStartSince.Store(now)
 	}
 	t.known[id] = &entry{state: state}
 	return state
--- /dev/null
+++ b/fleet/process/rights/banker_test.go
@@ -0,0 +1,96 @@
+package rights_test
+
+import (
+	"testing"
+	"time"
+
+	"jacinthpaddle.example/fleet/process/account"
+	"jacinthpaddle.example/fleet/process/ident"
+	"jacinthpaddle.example/fleet/process/rights"
+)
+
+// refilling returns a holder whose demand asks for more than it holds.
+func refilling(now time.Time) *rights.Book[rights.DemandShrinking] {
+	book := idle(now, 0)
+	holding := book.Holding(budget)
+	holding.Demand.Rate = 100
+	holding.Demand.Since, holding.Demand.Begun = now, now
+	return book
+}
+
+// 59 processes that each drew on the store for themselves made 44,000 calls a day.
+func TestRefillsComeFromTheBanker(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := refilling(now)
+	book.SetPeers([]ident.Incarnation{"x", "bank"})
+	book.SetBankers([]ident.Incarnation{"bank"}, false)
+	orders := book.Tick(now)
+	if len(orders.Draws) != 0 || len(orders.Pulls) != 1 {
+		t.Fatalf("orders: got %d draws and %d pulls, want one pull", len(orders.Draws), len(orders.Pulls))
+	}
+	pull := orders.Pulls[0]
+	if pull.To != "bank" || pull.Need != 0 || pull.Want == 0 {
+		t.Errorf("pull: got %+v", pull)
+	}
+	orders = book.Transferred(rights.Transfer{Budget: budget, From: "bank", To: "a", Total: 400}, now)
+	if got, want := book.Purses.Get(budget).Level().Available, int64(400); got != want {
+		t.Errorf("available: got %d, want %d", got, want)
+	}
+	if len(orders.Receipts) != 1 {
+		t.Errorf("receipts: got %d, want 1", len(orders.Receipts))
+	}
+}
+
+func TestHoldersDrawThemselvesWithoutABanker(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := refilling(now)
+	book.SetPeers([]ident.Incarnation{"x"})
+	book.SetBankers([]ident.Incarnation{"bank"}, false)
+	if orders := book.Tick(now); len(orders.Draws) != 1 || len(orders.Pulls) != 0 {
+		t.Errorf("orders: got %d draws and %d pulls, want one draw", len(orders.Draws), len(orders.Pulls))
+	}
+}
+
+// A request that waits turns to the store once the banker had time to answer.
+func TestWaitingRequestsAskTheBankerThenTheStore(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := idle(now, 0)
+	book.SetPeers([]ident.Incarnation{"bank"})
+	book.SetBankers([]ident.Incarnation{"bank"}, false)
+	orders := book.Want(budget, 50, now)
+	if len(orders.Pulls) != 1 || len(orders.Draws) != 0 {
+		t.Fatalf("orders: got %d pulls and %d draws, want one pull", len(orders.Pulls), len(orders.Draws))
+	}
+	orders = book.Want(budget, 50, now.Add(rights.PullTimeout))
+	if len(orders.Draws) != 1 {
+		t.Errorf("draws once the banker was silent: got %d, want 1", len(orders.Draws))
+	}
+}
+
+// The demand of those who refill at a banker is its own.
+func TestBankersHoldForOthers(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := idle(now, 1_000)
+	book.SetPeers([]ident.Incarnation{"b"})
+	book.SetBankers(nil, true)
+	book.Holding(budget).Demand = rights.Demand{Window: time.Second, Rate: 60, Begun: now, Since: now}
+	book.Tick(now)
+	book.Pulled(rights.Pull{Budget: budget, From: "b", To: "a", Want: 600, Demand: 60}, now)
+	later := now.Add(time.Second)
+	book.Stored(budget, account.View{Found: true, Record: account.Holder{Granted: 1_000}, Remaining: 9_000}, later)
+	book.Tick(later)
+	if got := book.Holding(budget).Demand.Rate; got < 100 {
+		t.Errorf("demand: got %.0f a second, want that of the peer in it", got)
+	}
+}
+
+func TestSurplusGoesToTheBanker(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := idle(now, 1_000)
+	book.SetPeers([]ident.Incarnation{"bank"})
+	book.SetBankers([]ident.Incarnation{"bank"}, false)
+	orders := book.Tick(now)
+	if len(orders.Refunds) != 0 || len(orders.Transfers) != 1 || orders.Transfers[0].Total != 1_000 {
+		t.Errorf("orders: got %+v, want a transfer of 1000", orders)
+	}
+}
--- a/fleet/process/rights/book.go
+++ b/fleet/process/rights/book.go
@@ -52,6 +52,8 @@
 	Sizer    S
 	Purses   *Purses
 	Peers    []ident.Incarnation
+	Bankers  []ident.Incarnation
+	Banks    bool
 	Holdings map[string]*Holding
 }
 
@@ -82,6 +84,14 @@
 	b.Peers = slices.Clone(peers)
 }
 
+// SetBankers takes the peers from which this holder refills, so that a large
+// fleet does not draw on the store with every process. Without any it draws
+// itself. Banks says that others refill here, which makes their demand its own.
+func (b *Book[S]) SetBankers(bankers []ident.Incarnation, banks bool) {
+	b.Bankers = slices.Clone(bankers)
+	b.Banks = banks
+}
+
 // SetPurchased takes the total purchased in the configuration in force. It is
 // called before a budget's first use here and when the configuration changes
 // for those in Holdings.
@@ -180,7 +190,7 @@
 	joint := false
 	for _, budget := range budgets {
 		holding := b.Holdings[budget]
-		holding.Demand.Observe(holding.Purse.Level().Spent+holding.Refused, now)
+		holding.Demand.Observe(b.used(holding), now)
 		joint = joint || b.Sizer.Draw(b.situation(holding)) > 0
 	}
 	b.Joint = joint
@@ -194,13 +204,24 @@
 		}
 		b.prepare(holding)
 		orders.Add(b.raise(holding, now))
-		orders.Add(b.draw(holding, now))
+		orders.Add(b.refill(holding, now))
 		orders.Add(b.search(holding, now))
 		orders.Add(b.refund(holding, now))
 	}
 	return orders
 }
 
+// used returns the monotone total by which demand is estimated.
+func (b *Book[S]) used(holding *Holding) int64 {
+	total := holding.Purse.Level().Spent + holding.Refused
+	if b.Banks {
+		for _, exchange := range holding.Peers {
+			total += exchange.Passed
+		}
+	}
+	return total
+}
+
 // Close gives up the rights in one budget, at drain, when no request is in
 // progress. They return to the store, or pass to a peer if the store is away.
 // It is called again until Closed.
--- a/fleet/process/rights/holding.go
+++ b/fleet/process/rights/holding.go
@@ -65,6 +65,7 @@
 	Unsure     bool                           `json:"unsure"`
 	Drawing    bool                           `json:"drawing"`
 	RetryAt    time.Time                      `json:"retry_at"`
+	RefilledAt time.Time                      `json:"refilled_at"`
 	DryUntil   time.Time                      `json:"dry_until"`
 	Searches   int                            `json:"searches"`
 	DryRounds  int                            `json:"dry_rounds"`
--- a/fleet/process/rights/shortage.go
+++ b/fleet/process/rights/shortage.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jacinthpaddle.example/fleet/process/account"
 	"jacinthpaddle.example/fleet/process/ident"
 )
@@ -20,6 +22,12 @@
 	if holding.Held() >= round.Need && now.Sub(round.Since) < PullTimeout {
 		return orders
 	}
+	if bank, ok := b.banker(); ok && !round.StoreAsked {
+		orders.Add(b.ask(holding, bank, round.Need-holding.Purse.Level().Available, now))
+		if round.unanswered([]ident.Incarnation{bank}, now) {
+			return orders
+		}
+	}
 	if !round.StoreAsked {
 		round.StoreAsked = true
 		draw := b.draw(holding, now)
@@ -62,18 +70,7 @@
 	for wave, limit := range []int{FirstPulls, len(candidates)} {
 		asked := candidates[:min(limit, len(candidates))]
 		for _, peer := range asked {
-			if _, ok := round.Asked[peer]; ok {
-				continue
-			}
-			round.Asked[peer] = now
-			orders.Pulls = append(orders.Pulls, Pull{
-				Budget: holding.Budget,
-				From:   b.Self,
-				To:     peer,
-				Need:   round.Need - available,
-				Want:   b.Sizer.Exposure(b.situation(holding)),
-				Demand: holding.Demand.Rate,
-			})
+			orders.Add(b.ask(holding, peer, round.Need-available, now))
 		}
 		if round.unanswered(asked, now) {
 			return orders
@@ -85,6 +82,49 @@
 	return orders
 }
 
+// ask pulls from a peer what a search needs, once a search.
+func (b *Book[S]) ask(holding *Holding, peer ident.Incarnation, need int64, now time.Time) Orders {
+	if _, ok := holding.Round.Asked[peer]; ok {
+		return Orders{}
+	}
+	holding.Round.Asked[peer] = now
+	return Orders{Pulls: []Pull{b.pullOf(holding, peer, need, b.Sizer.Exposure(b.situation(holding)))}}
+}
+
+func (b *Book[S]) pullOf(holding *Holding, peer ident.Incarnation, need, want int64) Pull {
+	return Pull{Budget: holding.Budget, From: b.Self, To: peer, Need: need, Want: want, Demand: holding.Demand.Rate}
+}
+
+// banker returns the peer from which this holder refills. Holders of one zone are
+// spread over its bankers.
+func (b *Book[S]) banker() (ident.Incarnation, bool) {
+	var reached []ident.Incarnation
+	for _, peer := range b.Bankers {
+		if slices.Contains(b.Peers, peer) {
+			reached = append(reached, peer)
+		}
+	}
+	if len(reached) == 0 {
+		return "", false
+	}
+	return reached[xxhash.Sum64String(string(b.Self))%uint64(len(reached))], true
+}
+
+// refill brings what is held up to what the sizing policy wants, from the banker
+// or else from the store.
+func (b *Book[S]) refill(holding *Holding, now time.Time) Orders {
+	bank, ok := b.banker()
+	if !ok {
+		return b.draw(holding, now)
+	}
+	amount := b.amount(holding)
+	if amount == 0 || holding.Closing || now.Sub(holding.RefilledAt) < PullTimeout {
+		return Orders{}
+	}
+	holding.RefilledAt = now
+	return Orders{Pulls: []Pull{b.pullOf(holding, bank, 0, amount)}}
+}
+
 // unanswered reports whether one of the peers may still answer in time.
 func (r *Round) unanswered(peers []ident.Incarnation, now time.Time) bool {
 	return slices.ContainsFunc(peers, func(peer ident.Incarnation) bool {
@@ -149,9 +189,15 @@
 	}}}
 }
 
-// refund gives back what the sizing policy does not want to keep. It is ordered
-// again until the store has it: the credits have left the purse by then.
+// refund gives back what the sizing policy does not want to keep, to the banker or
+// else to the store. It is ordered again until the store has it: the credits have
+// left the purse by then.
 func (b *Book[S]) refund(holding *Holding, now time.Time) Orders {
+	if bank, ok := b.banker(); ok && !holding.Closing {
+		if surplus := holding.Purse.Take(b.Sizer.Surplus(b.situation(holding))); surplus > 0 {
+			return b.pass(holding, bank, surplus, now)
+		}
+	}
 	if holding.Drawing || holding.Shut || !holding.Opened || now.Before(holding.RetryAt) {
 		return Orders{}
 	}
--- a/fleet/process/rights/transfer.go
+++ b/fleet/process/rights/transfer.go
@@ -75,7 +75,7 @@
 func (b *Book[S]) share(holding *Holding, message Pull) int64 {
 	held := max(0, holding.Held())
 	need := holding.Round.Need
-	if need > message.Need || (need == message.Need && b.Self < message.From) {
+	if need > message.Need || (need > 0 && need == message.Need && b.Self < message.From) {
 		return 0
 	}
 	part := held
--- a/fleet/request/choose/eject.go
+++ b/fleet/request/choose/eject.go
@@ -80,17 +80,17 @@
 // open reports whether the endpoint may be a candidate.
 func (e *ejector) open(state *endpoint.State, now time.Time) bool {
 	until := state.EjectedUntil.Load()
-	return until == 0 || now.UnixNano() >= until && !state.Trial.Load()
+	return until.IsZero() || !now.Before(until) && !state.Trial.Load()
 }
 
 // admit reports whether the endpoint takes a request now, as a trial if it is
 // ejected.
 func (e *ejector) admit(state *endpoint.State, now time.Time) bool {
 	until := state.EjectedUntil.Load()
-	if until == 0 {
+	if until.IsZero() {
 		return true
 	}
-	return now.UnixNano() >= until && state.Trial.CompareAndSwap(false, true)
+	return !now.Before(until) && state.Trial.CompareAndSwap(false, true)
 }
 
 // withdraw ends a trial that was not sent.
@@ -101,7 +101,7 @@
 // record takes the result of an attempt. What began before an ejection changes
 // nothing after it.
 func (e *ejector) record(members []*endpoint.State, state *endpoint.State, result Result, now time.Time) {
-	if state.EjectedUntil.Load() != 0 && !state.Trial.Load() {
+	if !state.EjectedUntil.Load().IsZero() && !state.Trial.Load() {
 		return
 	}
 	switch result {
@@ -117,14 +117,14 @@
 // readmit ends an ejection and begins a slow start.
 func (e *ejector) readmit(state *endpoint.State, now time.Time) {
 	state.Failures.Store(0)
-	if state.EjectedUntil.Load() == 0 {
+	if state.EjectedUntil.Load().IsZero() {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	state.SlowStartSince.Store(now.UnixNano())
+	state.SlowStartSince.Store(now)
 	state.Ejections.Store(0)
-	state.EjectedUntil.Store(0)
+	state.EjectedUntil.Store(time.Time{})
 	state.Trial.Store(false)
 }
 
@@ -134,14 +134,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if state.EjectedUntil.Load() != 0 && !state.Trial.Load() {
+	if !state.EjectedUntil.Load().IsZero() && !state.Trial.Load() {
 		return
 	}
-	if state.EjectedUntil.Load() == 0 && e.full(members) {
+	if state.EjectedUntil.Load().IsZero() && e.full(members) {
 		return
 	}
 	length := e.config.Base << min(state.Ejections.Load(), 16)
-	state.EjectedUntil.Store(now.Add(min(length, e.config.Max)).UnixNano())
+	state.EjectedUntil.Store(now.Add(min(length, e.config.Max)))
 	state.Ejections.Add(1)
 	state.Trial.Store(false)
 }
@@ -150,7 +150,7 @@
 func (e *ejector) full(members []*endpoint.State) bool {
 	ejected := 1
 	for _, state := range members {
-		if state.EjectedUntil.Load() != 0 {
+		if !state.EjectedUntil.Load().IsZero() {
 			ejected++
 		}
 	}
--- a/fleet/request/choose/picker.go
+++ b/fleet/request/choose/picker.go
@@ -183,8 +183,8 @@
 // share returns the part of its full share that a new endpoint may take.
 func (p *Picker) share(state *endpoint.State, now time.Time) float64 {
 	since := state.SlowStartSince.Load()
-	passed := now.Sub(time.Unix(0, since))
-	if since == 0 || passed >= p.config.SlowStart {
+	passed := now.Sub(since)
+	if since.IsZero() || passed >= p.config.SlowStart {
 		return 1
 	}
 	return max(0.1, passed.Seconds()/p.config.SlowStart.Seconds())
--- a/fleet/request/choose/picker_test.go
+++ b/fleet/request/choose/picker_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,7 +56,7 @@
 	}{
 		{"leaving", func(state *endpoint.State, _ *choose.Request) { state.MarkLeaving(endpoint.ByAnswer, begin) }},
 		{"ejected", func(state *endpoint.State, _ *choose.Request) {
-			state.EjectedUntil.Store(begin.Add(time.Second).UnixNano())
+			state.EjectedUntil.Store(begin.Add(time.Second))
 		}},
 		{"misses polls", func(state *endpoint.State, _ *choose.Request) { state.Missed.Store(3) }},
 		{"to avoid", func(state *endpoint.State, request *choose.Request) {
@@ -70,7 +71,7 @@
 			state.Report.Store(&endpoint.Report{InFlight: 8, Slots: 8, ReceivedAt: begin})
 		}},
 		{"own load", func(state *endpoint.State, _ *choose.Request) { state.InFlight.Store(8) }},
-		{"just added", func(state *endpoint.State, _ *choose.Request) { state.SlowStartSince.Store(begin.UnixNano()) }},
+		{"just added", func(state *endpoint.State, _ *choose.Request) { state.SlowStartSince.Store(begin) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -198,8 +199,8 @@
 			states[0].Acquire(0)
 			fail(picker, states, states[0], begin)
 			picker.Done(states, states[0], choose.Failure, begin)
-			if got := states[0].EjectedUntil.Load(); got != begin.Add(2*time.Second).UnixNano() {
-				t.Fatalf("ejected until: got %s, want 2 s on", time.Unix(0, got))
+			if got := states[0].EjectedUntil.Load(); !got.Equal(begin.Add(2*time.Second)) {
+				t.Fatalf("ejected until: got %s, want 2 s on", got)
 			}
 			states[1].InFlight.Store(100)
 			trial := begin.Add(2 * time.Second)
@@ -209,12 +210,12 @@
 				t.Fatal("trial: got none or a second one, want one")
 			}
 			picker.Done(states, first, test.result, trial)
-			var want int64
+			var want time.Time
 			if test.until != 0 {
-				want = begin.Add(test.until).UnixNano()
+				want = begin.Add(test.until)
 			}
-			if got := states[0].EjectedUntil.Load(); got != want || states[0].Trial.Load() {
-				t.Errorf("ejected until: got %d, want %d and no trial", got, want)
+			if got := states[0].EjectedUntil.Load(); !got.Equal(want) || states[0].Trial.Load() {
+				t.Errorf("ejected until: got %s, want %s and no trial", got, want)
 			}
 		})
 	}
@@ -248,7 +249,7 @@
 	ejected := 0
 	for _, state := range states {
 		fail(picker, states, state, begin)
-		if state.EjectedUntil.Load() != 0 {
+		if !state.EjectedUntil.Load().IsZero() {
 			ejected++
 		}
 	}
@@ -274,3 +275,14 @@
 		})
 	}
 }
+
+// Waits are measured by the steady clock: after a jump of the time of day an
+// ejection would else last as long as the jump.
+func TestEjectionKeepsTheSteadyClock(t *testing.T) {
+	picker := newPicker()
+	states := members(hall, hall)
+	fail(picker, states, states[0], time.Now())
+	if got := states[0].EjectedUntil.Load().String(); !strings.Contains(got, " m=") {
+		t.Errorf("ejected until: got %s, want a reading of the steady clock", got)
+	}
+}
--- a/router/process/node/endpoints.go
+++ b/router/process/node/endpoints.go
@@ -15,7 +15,7 @@
 	for _, pool := range s.Generation.Set.Pools {
 		for _, state := range s.Endpoints.View().Members(pool.Name) {
 			name := state.VM.Name
-			signs := endpointSigns{leaving: !state.Usable(), ejected: state.EjectedUntil.Load() != 0}
+			signs := endpointSigns{leaving: !state.Usable(), ejected: !state.EjectedUntil.Load().IsZero()}
 			if signs.leaving && !s.signs[name].leaving {
 				s.Log.Emit(event.EndpointLeaving, event.Text("endpoint", name))
 			}
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -157,6 +157,7 @@
 func (s *State) fleetChanged() {
 	members := s.view().Members()
 	s.Book.SetPeers(s.peers(members))
+	s.Book.SetBankers(bankers(members, s.view().Self()))
 	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, len(members), FlushShare))
 	s.Keeper.SetPeers(s.Clock.Now(), s.keepers(members))
 	s.journal()
@@ -208,6 +209,23 @@
 	return ahead < ZoneWatchers
 }
 
+// bankers returns the members that draw on the store for the process, and whether
+// others draw by it. They are those that watch the store in its availability zone.
+func bankers(members []member.Member, self member.Member) (others []ident.Incarnation, banks bool) {
+	if len(members) <= SmallFleet {
+		return nil, false
+	}
+	if watches(members, self) {
+		return nil, true
+	}
+	for _, peer := range members {
+		if peer.Place == self.Place && peer.State == member.Live && len(others) < ZoneWatchers {
+			others = append(others, peer.Incarnation)
+		}
+	}
+	return others, false
+}
+
 // candidate is a member that can be reached, with its rank as a guard.
 type candidate struct {
 	member.Member
