Log a line for each decision on a request, bounded and never waited for

Cause: an engineer with only logs could not follow a request: attempts, their ends and the reasons against a retry were not logged. Change: events 8006 (served, sampled) and 8007 (attempt failed, with moment, word, reason and the age of the load report); event.Queue drops and counts what its bound does not hold (log_lines_dropped); logs go to standard output.

--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -55,6 +55,8 @@
 	ClaimFailed      = Kind{8002, "claim of an idempotency key not written", logrus.WarnLevel}
 	ForwardFailed    = Kind{8003, "request not forwarded to the holder of its key", logrus.WarnLevel}
 	RequestRefused   = Kind{8005, "request refused", logrus.InfoLevel}
+	RequestServed    = Kind{8006, "request served", logrus.InfoLevel}
+	AttemptFailed    = Kind{8007, "attempt failed", logrus.InfoLevel}
 	RunPanicked      = Kind{8004, "request with an idempotency key panicked", logrus.ErrorLevel}
 )
 
@@ -69,7 +71,7 @@
 		JournalFailed, JournalAdopted, JournalFull,
 		PeerUp, PeerDown,
 		EndpointEjected, EndpointLeaving, FrameDropped,
-		RequestFailed, ClaimFailed, ForwardFailed, RunPanicked, RequestRefused,
+		RequestFailed, ClaimFailed, ForwardFailed, RunPanicked, RequestRefused, RequestServed, AttemptFailed,
 	}
 }
 
--- /dev/null
+++ b/fleet/process/event/queue.go
@@ -0,0 +1,89 @@
+package event
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// Queue is a writer that never makes its caller wait: what its bound does not
+// hold is dropped and counted. Each write is one line. It is safe for concurrent
+// use and lives as long as the process.
+type Queue struct {
+	out     io.Writer
+	lines   chan []byte
+	flushes chan flush
+	dropped atomic.Int64
+}
+
+// flush is closed once all lines before it are written.
+type flush chan struct{}
+
+// NewQueue returns a queue of at most bound lines, which are written to out.
+func NewQueue(out io.Writer, bound int) *Queue {
+	queue := &Queue{out: out, lines: make(chan []byte, bound), flushes: make(chan flush)}
+	go queue.run()
+	return queue
+}
+
+func (q *Queue) run() {
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(line)
+		case marker := <-q.flushes:
+			q.drain()
+			close(marker)
+		}
+	}
+}
+
+// drain writes the lines that are queued.
+func (q *Queue) drain() {
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (q *Queue) write(line []byte) {
+	if _, err := q.out.Write(line); err != nil {
+		// There is no other place to tell this: the counter does.
+		q.dropped.Add(1)
+	}
+}
+
+// Write implements io.Writer. It takes the whole line or drops it.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were not written.
+func (q *Queue) Dropped() int64 {
+	return q.dropped.Load()
+}
+
+// Flush waits until the lines that are queued now are written, at most for the
+// limit.
+func (q *Queue) Flush(limit time.Duration) {
+	deadline := time.After(limit)
+	marker := flush(make(chan struct{}))
+	select {
+	case q.flushes <- marker:
+	case <-deadline:
+		return
+	}
+	select {
+	case <-marker:
+	case <-deadline:
+	}
+}
--- a/fleet/process/meter/meter.go
+++ b/fleet/process/meter/meter.go
@@ -79,6 +79,17 @@
 	return errors.Annotate(err, "metrics")
 }
 
+// ObserveLog adds a counter of the log lines that were not written.
+func (m *Metrics) ObserveLog(dropped func() int64) error {
+	_, err := m.meter.Int64ObservableCounter("log_lines_dropped",
+		metric.WithDescription("log lines that were not written"), metric.WithUnit("{line}"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(dropped())
+			return nil
+		}))
+	return errors.Annotate(err, "metrics")
+}
+
 func direction(name string) metric.MeasurementOption {
 	return metric.WithAttributes(attribute.String("direction", name))
 }
--- a/fleet/process/rights/banker_test.go
+++ b/fleet/process/rights/banker_test.go
@@ -94,3 +94,24 @@
 		t.Errorf("orders: got %+v, want a transfer of 1000", orders)
 	}
 }
+
+// A banker that has too little draws and then passes on what it owes, so that its
+// peers need not turn to the store.
+func TestBankersDrawForThoseThatWait(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := idle(now, 0)
+	book.SetPeers([]ident.Incarnation{"b"})
+	book.SetBankers(nil, true)
+	orders := book.Pulled(rights.Pull{Budget: budget, From: "b", To: "a", Need: 300, Want: 300}, now)
+	if len(orders.Draws) != 1 || len(orders.Transfers) != 0 {
+		t.Fatalf("orders: got %d draws and %d transfers, want one draw", len(orders.Draws), len(orders.Transfers))
+	}
+	if got := orders.Draws[0].Least; got < 300 {
+		t.Errorf("least: got %d, want at least 300", got)
+	}
+	record := account.Holder{Granted: 1_000}
+	orders = book.Stored(budget, account.View{Found: true, Record: record, Remaining: 9_000}, now)
+	if len(orders.Transfers) != 1 || orders.Transfers[0].Total != 300 {
+		t.Errorf("transfers: got %+v, want a total of 300", orders.Transfers)
+	}
+}
--- a/fleet/process/rights/shortage.go
+++ b/fleet/process/rights/shortage.go
@@ -182,7 +182,7 @@
 		Opened: holding.Opened,
 		From:   holding.Granted,
 		Target: holding.Granted + amount,
-		Least:  holding.Round.Need,
+		Least:  b.need(holding),
 		Part:   b.Sizer.Part(),
 		Epoch:  latest.Epoch,
 		Guards: latest.Guards,
@@ -220,7 +220,7 @@
 // left is only asked for requests that wait. A holder that nobody can guard
 // takes what it exposes anyway.
 func (b *Book[S]) amount(holding *Holding) int64 {
-	if holding.Remaining == 0 && holding.Round.Need == 0 {
+	if holding.Remaining == 0 && b.need(holding) == 0 {
 		return 0
 	}
 	situation := b.situation(holding)
@@ -231,6 +231,14 @@
 	return amount
 }
 
+// need returns what requests wait for, here and at those who refill here.
+func (b *Book[S]) need(holding *Holding) int64 {
+	if b.Banks {
+		return holding.Round.Need + holding.owed()
+	}
+	return holding.Round.Need
+}
+
 func (b *Book[S]) situation(holding *Holding) Situation {
 	remaining := holding.Remaining
 	if remaining == unknownRemaining {
@@ -238,7 +246,7 @@
 	}
 	return Situation{
 		Demand:    holding.Demand.Rate,
-		Need:      holding.Round.Need,
+		Need:      b.need(holding),
 		Held:      holding.Held(),
 		Granted:   holding.Granted,
 		Purchased: holding.Purchased,
--- a/fleet/process/rights/transfer.go
+++ b/fleet/process/rights/transfer.go
@@ -50,7 +50,7 @@
 }
 
 // Pulled answers a peer that lacks credits. What the ceiling does not allow yet
-// follows once it is raised.
+// follows once it is raised, and what a banker lacks once it has drawn it.
 func (b *Book[S]) Pulled(message Pull, now time.Time) Orders {
 	if message.To != b.Self {
 		return Orders{}
@@ -60,12 +60,17 @@
 	ready := holding.Purse.Take(share)
 	exchange := holding.Peers[message.From]
 	exchange.Owed = min(share-ready, holding.Parked())
+	if b.Banks {
+		exchange.Owed = max(exchange.Owed, message.Need-ready)
+	}
 	holding.Peers[message.From] = exchange
-	if ready == 0 && exchange.Owed > 0 {
-		return b.raise(holding, now)
+	orders := b.raise(holding, now)
+	if b.Banks && exchange.Owed > 0 {
+		orders.Add(b.draw(holding, now))
+	}
+	if ready > 0 || exchange.Owed == 0 {
+		orders.Add(b.pass(holding, message.From, ready, now))
 	}
-	orders := b.pass(holding, message.From, ready, now)
-	orders.Add(b.raise(holding, now))
 	return orders
 }
 
--- a/fleet/request/choose/picker_test.go
+++ b/fleet/request/choose/picker_test.go
@@ -199,7 +199,7 @@
 			states[0].Acquire(0)
 			fail(picker, states, states[0], begin)
 			picker.Done(states, states[0], choose.Failure, begin)
-			if got := states[0].EjectedUntil.Load(); !got.Equal(begin.Add(2*time.Second)) {
+			if got := states[0].EjectedUntil.Load(); !got.Equal(begin.Add(2 * time.Second)) {
 				t.Fatalf("ejected until: got %s, want 2 s on", got)
 			}
 			states[1].InFlight.Store(100)
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -43,6 +44,7 @@
 // trial is the state of a request between its attempts.
 type trial struct {
 	job     Job
+	started time.Time
 	run     journal.Run
 	tried   []*endpoint.State
 	begun   int
@@ -56,7 +58,7 @@
 func (r *Runner) attempts(ctx context.Context, job Job, sink Sink) Relayed {
 	budget := r.Budgets.Of(job.Plan.Pool.Name)
 	budget.Request(r.Clock.Now())
-	trial := &trial{job: job, run: journal.NotRun}
+	trial := &trial{job: job, started: r.Clock.Now(), run: journal.NotRun}
 	for {
 		state, err := r.pick(job, trial.tried)
 		if err != nil {
@@ -65,12 +67,17 @@
 		trial.tried = append(trial.tried, state)
 		done, failure := r.attempt(ctx, job, state, sink)
 		if done.Err == nil {
+			r.logServed(trial, done)
 			return done
 		}
 		if !r.again(ctx, trial, done, failure) {
 			return r.failed(trial, nil)
 		}
-		if trial.arrived && !budget.Take(r.Clock.Now()) || !r.pause(ctx, len(trial.tried)) {
+		if trial.arrived && !budget.Take(r.Clock.Now()) {
+			r.logAttempt(trial, failure, retry.BudgetIsEmpty)
+			return r.failed(trial, nil)
+		}
+		if !r.pause(ctx, len(trial.tried)) {
 			return r.failed(trial, nil)
 		}
 		r.Metrics.Retries.Add(ctx, 1)
@@ -98,6 +105,7 @@
 	trial.run = decision.Run
 	trial.begun = decision.Begun
 	trial.arrived = trial.arrived || failure.moment.Arrived()
+	r.logAttempt(trial, failure, decision.Reason)
 	var gone *CallerGoneError
 	return decision.Action == retry.Again && ctx.Err() == nil && !errors.As(done.Err, &gone)
 }
--- a/fleet/request/serve/serve.go
+++ b/fleet/request/serve/serve.go
@@ -119,6 +119,7 @@
 	Clock     clock.Clock
 	Random    random.Source
 	Log       *event.Log
+	Served    *event.Sampler
 	Metrics   *meter.Metrics
 	Wallet    Wallet
 	Recorder  Recorder
--- a/router/process/launch/launch.go
+++ b/router/process/launch/launch.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/juju/errors"
@@ -35,6 +36,13 @@
 	ExitPanicked = 70
 )
 
+// LogQueueLines bounds the log lines that wait to be written: some seconds of a
+// busy process, or 2 MB.
+const LogQueueLines = 4096
+
+// FlushTimeout bounds the wait for the last log lines of a process that ends.
+const FlushTimeout = time.Second
+
 // Program is one build of the router. The environment variable holds the path of
 // the settings where the command line names none. Adapter is nil for the fleet's
 // own protocols.
@@ -118,8 +126,17 @@
 		return ExitFailed
 	}
 	level, _ := logrus.ParseLevel(settings.Log.Level)
-	log := event.NewLog(out, level, event.Text("vm", settings.VM.Name))
-	router, err := node.New(settings, node.Deps{Clock: clock.New(), Log: log, Fatal: fatal(log), Adapter: program.Adapter})
+	lines := event.NewQueue(out, LogQueueLines)
+	defer lines.Flush(FlushTimeout)
+	log := event.NewLog(lines, level, event.Text("vm", settings.VM.Name))
+	deps := node.Deps{
+		Clock:        clock.New(),
+		Log:          log,
+		LinesDropped: lines.Dropped,
+		Fatal:        fatal(log, lines),
+		Adapter:      program.Adapter,
+	}
+	router, err := node.New(settings, deps)
 	if err != nil {
 		log.Emit(event.ListenFailed, event.Cause(err))
 		return ExitFailed
@@ -136,9 +153,10 @@
 
 // fatal ends the process at once: its rights are safer lost than used by state
 // that cannot be trusted.
-func fatal(log *event.Log) func(value any) {
+func fatal(log *event.Log, lines *event.Queue) func(value any) {
 	return func(value any) {
 		log.Emit(event.ControlPanicked, event.Text("value", fmt.Sprint(value)))
+		lines.Flush(FlushTimeout)
 		os.Exit(ExitPanicked)
 	}
 }
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -78,6 +78,8 @@
 type Deps struct {
 	Clock clock.Clock
 	Log   *event.Log
+	// LinesDropped, if set, returns how many log lines were not written.
+	LinesDropped func() int64
 	// Fatal ends the process after a fault that leaves its state unsure.
 	Fatal func(value any)
 	// Adapter speaks the protocols of another platform in place of the fleet's
@@ -181,6 +183,11 @@
 	if err := metrics.ObservePeers(node.peerBytes); err != nil {
 		return nil, err
 	}
+	if deps.LinesDropped != nil {
+		if err := metrics.ObserveLog(deps.LinesDropped); err != nil {
+			return nil, err
+		}
+	}
 	return node, node.listen()
 }
 
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -132,9 +132,11 @@
 	TTL time.Duration `ini:"ttl"`
 }
 
-// LogSettings choose the log's level.
+// LogSettings choose the log's level, and how many served requests a second have a
+// line.
 type LogSettings struct {
-	Level string `ini:"level"`
+	Level           string `ini:"level"`
+	ServedPerSecond int    `ini:"served_per_second"`
 }
 
 // DefaultSettings returns the settings that a router starts from.
@@ -182,7 +184,7 @@
 			FinalTimeout:  5 * time.Second,
 		},
 		Locate: LocateSettings{TTL: 10 * time.Second},
-		Log:    LogSettings{Level: "info"},
+		Log:    LogSettings{Level: "info", ServedPerSecond: 20},
 	}
 }
 
@@ -299,6 +301,7 @@
 	check.within(int64(s.Journal.Copies), 0, 4, "journal", "copies")
 	check.require(s.Journal.Copies > 0 || !s.Journal.Wait, "journal", "copies", "must not be zero while requests wait for them")
 	check.within(int64(s.Rights.RefillPercent), 1, 100, "rights", "refill_percent")
+	check.within(int64(s.Log.ServedPerSecond), 0, 1<<20, "log", "served_per_second")
 	check.within(int64(s.Rights.Pages), 1, account.PageCount, "rights", "pages")
 	check.within(int64(s.Platform.Polled), 0, 1024, "platform", "polled_endpoints")
 	check.within(int64(s.Retries.SharePercent), 0, 100, "retries", "share_percent")
--- a/router/process/node/wire.go
+++ b/router/process/node/wire.go
@@ -23,6 +23,7 @@
 		Clock:     n.Clock,
 		Random:    random.New(),
 		Log:       n.Log,
+		Served:    event.NewSampler(n.Settings.Log.ServedPerSecond),
 		Metrics:   n.metrics,
 		Wallet:    NewWallet(n.thread, n.state.Book.Purses),
 		Recorder:  NewRecorder(n.thread, n.Settings.Journal.Wait),
