End the predecessor's record when a process draws on the same VM

Cause: records of killed processes stayed open, counted as holders, and halved the shares of all others after a restart of the whole fleet. Ruled out: ending them by membership, which takes 30 s and the list.

--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -49,11 +49,13 @@
 
 // Holder is what one incarnation has drawn from an account, in credits. Both
 // totals only grow. Guards is the set that must attest what the holder can
-// have spent before its rights are reclaimed, and Epoch numbers that set.
+// have spent before its rights are reclaimed, and Epoch numbers that set. VM names
+// where the holder runs: a VM runs one router, so that a later one there ends it.
 type Holder struct {
 	Granted  int64               `json:"granted"`
 	Returned int64               `json:"returned,omitempty"`
 	Closed   bool                `json:"closed,omitempty"`
+	VM       string              `json:"vm,omitempty"`
 	Epoch    int64               `json:"epoch,omitempty"`
 	Guards   []ident.Incarnation `json:"guards,omitempty"`
 }
@@ -150,6 +152,7 @@
 type Draw struct {
 	Budget string
 	Holder ident.Incarnation
+	VM     string
 	Opened bool
 	From   int64
 	Target int64
@@ -182,6 +185,10 @@
 		return false
 	}
 	changed := !found
+	if !found {
+		record.VM = draw.VM
+		state.succeed(draw)
+	}
 	given := draw.raise(record.Granted, purchased-state.Out())
 	if given > 0 {
 		record.Granted += given
@@ -197,6 +204,21 @@
 	return changed
 }
 
+// succeed closes the records of earlier holders on the VM of a new one. What nobody
+// guards is written off, since they may have spent it. Guarded records are left to
+// a reclaim.
+func (a Account) succeed(draw Draw) {
+	if draw.VM == "" {
+		return
+	}
+	for holder, record := range a.Holders {
+		if holder != draw.Holder && record.VM == draw.VM && len(record.Guards) == 0 {
+			record.Closed = true
+			a.Holders[holder] = record
+		}
+	}
+}
+
 // Return asks to close the holder's record after it set aside the credits that
 // it did not spend. Returned is a total and can exceed what was granted. Granted
 // is the total that the holder knew of: it has spent nothing of what is beyond.
--- a/fleet/process/account/refund_test.go
+++ b/fleet/process/account/refund_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"jacinthpaddle.example/fleet/process/account"
+	"jacinthpaddle.example/fleet/process/ident"
 )
 
 func TestRefundOfOpenHolder(t *testing.T) {
@@ -33,3 +34,28 @@
 		t.Error("refund of a closed holder: got a change, want none")
 	}
 }
+
+// A router that starts on a VM ends its predecessor there, which else counted as a
+// holder for minutes and made the shares of the others smaller.
+func TestDrawEndsPredecessorsOnTheVM(t *testing.T) {
+	page := newPage(t)
+	guards := []ident.Incarnation{"g", "h"}
+	for _, draw := range []account.Draw{
+		{Holder: "old", VM: "vm-1", Target: 100},
+		{Holder: "guarded", VM: "vm-1", Target: 100, Epoch: 1, Guards: guards},
+		{Holder: "other", VM: "vm-2", Target: 100},
+		{Holder: "unnamed", Target: 100},
+	} {
+		draw.Budget = budget
+		page.Draw(draw, purchased)
+	}
+	page.Draw(account.Draw{Budget: budget, Holder: "new", VM: "vm-1", Target: 100}, purchased)
+	for holder, want := range map[ident.Incarnation]bool{"old": true, "guarded": false, "other": false, "unnamed": false, "new": false} {
+		if got := page.Accounts[budget].Holders[holder].Closed; got != want {
+			t.Errorf("%s closed: got %t, want %t", holder, got, want)
+		}
+	}
+	if got, want := page.Accounts[budget].Out(), int64(500); got != want {
+		t.Errorf("out: got %d, want %d: what the predecessor held counts as spent", got, want)
+	}
+}
--- a/fleet/process/rights/book.go
+++ b/fleet/process/rights/book.go
@@ -44,9 +44,11 @@
 //
 // A view passed to Stored must be of a page no older than any page passed
 // before. Window is the time constant of the demand estimates. Joint is true while
-// draws are made anyway, so that one more costs no further call.
+// draws are made anyway, so that one more costs no further call. VM names where the
+// holder runs.
 type Book[S Sizer] struct {
 	Self     ident.Incarnation
+	VM       string
 	Window   time.Duration
 	Joint    bool
 	Sizer    S
--- a/fleet/process/rights/shortage.go
+++ b/fleet/process/rights/shortage.go
@@ -179,6 +179,7 @@
 	return Orders{Draws: []account.Draw{{
 		Budget: holding.Budget,
 		Holder: b.Self,
+		VM:     b.VM,
 		Opened: holding.Opened,
 		From:   holding.Granted,
 		Target: holding.Granted + amount,
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -175,6 +175,7 @@
 		recoveries:     make(map[RecoveryKey]*rights.Recovery),
 		inspected:      make(map[ident.Incarnation]bool),
 	}
+	state.Book.VM = self.VM
 	state.Book.Window = settings.Rights.Window
 	state.Watches.Store(true)
 	state.resizeRetries(1)
