--- a/fleet/process/rights/book.go
+++ b/fleet/process/rights/book.go
@@ -54,8 +54,7 @@
 	Sizer    S
 	Purses   *Purses
 	Peers    []ident.Incarnation
-	Bankers  []ident.Incarnation
-	Banks    bool
+	Banking  Banking
 	Holdings map[string]*Holding
 }
 
@@ -86,12 +85,19 @@
 	b.Peers = slices.Clone(peers)
 }
 
-// SetBankers takes the peers from which this holder refills, so that a large
-// fleet does not draw on the store with every process. Without any it draws
-// itself. Banks says that others refill here, which makes their demand its own.
-func (b *Book[S]) SetBankers(bankers []ident.Incarnation, banks bool) {
-	b.Bankers = slices.Clone(bankers)
-	b.Banks = banks
+// Banking is how a large fleet keeps most of its processes from drawing on the
+// store. A holder refills from one of Bankers, or draws itself if there are none.
+// Banks says that others refill here, which makes their demand its own, and All is
+// how many bankers the fleet has: they share what remains.
+type Banking struct {
+	Bankers []ident.Incarnation
+	Banks   bool
+	All     int
+}
+
+// SetBanking takes who draws on the store for whom.
+func (b *Book[S]) SetBanking(banking Banking) {
+	b.Banking = banking
 }
 
 // SetPurchased takes the total purchased in the configuration in force. It is
@@ -155,6 +161,9 @@
 		holding.RefundSeen = max(holding.RefundSeen, view.Record.Returned)
 		holding.release()
 	}
+	if holding.Shut {
+		holding.RefundSeen = holding.Refunded
+	}
 	holding.Round.settle(view.Remaining)
 	orders := b.pay(holding, now)
 	orders.Add(b.search(holding, now))
@@ -216,7 +225,7 @@
 // used returns the monotone total by which demand is estimated.
 func (b *Book[S]) used(holding *Holding) int64 {
 	total := holding.Purse.Level().Spent + holding.Refused
-	if b.Banks {
+	if b.Banking.Banks {
 		for _, exchange := range holding.Peers {
 			total += exchange.Passed
 		}
@@ -240,10 +249,12 @@
 	}
 	away := holding.Away || !holding.Opened || holding.Shut
 	if away && len(b.Peers) > 0 {
-		return b.leave(holding, now)
+		orders := b.leave(holding, now)
+		orders.Add(b.refund(holding, now))
+		return orders
 	}
 	if away {
-		return Orders{}
+		return b.refund(holding, now)
 	}
 	holding.Returned = holding.Refunded + holding.Parked() + holding.Purse.Take(math.MaxInt64)
 	holding.Closing = true
@@ -254,7 +265,7 @@
 func (b *Book[S]) Closed(budget string) bool {
 	holding := b.Holding(budget)
 	settled := holding.Shut || (!holding.Opened && !holding.Unsure)
-	return settled && holding.Held() == 0
+	return settled && holding.Held() == 0 && holding.Refunded <= holding.RefundSeen
 }
 
 // backoff doubles the pause with each failure.
--- a/fleet/process/rights/holding.go
+++ b/fleet/process/rights/holding.go
@@ -65,7 +65,6 @@
 	Unsure     bool                           `json:"unsure"`
 	Drawing    bool                           `json:"drawing"`
 	RetryAt    time.Time                      `json:"retry_at"`
-	RefilledAt time.Time                      `json:"refilled_at"`
 	DryUntil   time.Time                      `json:"dry_until"`
 	Searches   int                            `json:"searches"`
 	DryRounds  int                            `json:"dry_rounds"`
--- a/fleet/process/rights/property_test.go
+++ b/fleet/process/rights/property_test.go
@@ -22,6 +22,22 @@
 		Share:   0.5,
 		Holders: 2,
 	},
+	"unguarded": rights.DemandShrinking{
+		Horizon:   10 * time.Second,
+		Ready:     10 * time.Second,
+		Share:     0.5,
+		Holders:   1,
+		Refill:    0.75,
+		Unguarded: true,
+	},
+	"banked": rights.DemandShrinking{
+		Horizon:   8 * time.Second,
+		Ready:     8 * time.Second,
+		Share:     0.5,
+		Holders:   1,
+		Refill:    0.75,
+		Unguarded: true,
+	},
 	"split": rights.EvenSplit{Holders: 4},
 }
 
@@ -162,6 +178,14 @@
 	n.book.SetPeers(peers)
 }
 
+// refunding reports whether credits are on their way back to the store.
+func (m *machine) refunding() bool {
+	return slices.ContainsFunc(m.nodes, func(n *node) bool {
+		holding := n.book.Holding(budget)
+		return holding.Refunded > holding.RefundSeen
+	})
+}
+
 // recover starts or goes on to reclaim the rights of any node, lost or not.
 func (m *machine) recover(t *rapid.T) {
 	by := m.pick(t, running)
@@ -268,6 +292,14 @@
 				m.tick(10 * time.Second)
 			}
 			m.settle()
+			for rounds := 0; m.refunding(); rounds++ {
+				if rounds == 100 {
+					t.Fatal("refunds never reach the store")
+				}
+				m.settle()
+				m.tick(time.Second)
+				m.settle()
+			}
 			used, usable := m.used()
 			for _, n := range m.nodes {
 				usable += n.book.Holding(budget).Parked()
--- a/fleet/process/rights/shortage.go
+++ b/fleet/process/rights/shortage.go
@@ -88,18 +88,21 @@
 		return Orders{}
 	}
 	holding.Round.Asked[peer] = now
-	return Orders{Pulls: []Pull{b.pullOf(holding, peer, need, b.Sizer.Exposure(b.situation(holding)))}}
-}
-
-func (b *Book[S]) pullOf(holding *Holding, peer ident.Incarnation, need, want int64) Pull {
-	return Pull{Budget: holding.Budget, From: b.Self, To: peer, Need: need, Want: want, Demand: holding.Demand.Rate}
+	return Orders{Pulls: []Pull{{
+		Budget: holding.Budget,
+		From:   b.Self,
+		To:     peer,
+		Need:   need,
+		Want:   b.Sizer.Exposure(b.situation(holding)),
+		Demand: holding.Demand.Rate,
+	}}}
 }
 
 // banker returns the peer from which this holder refills. Holders of one zone are
 // spread over its bankers.
 func (b *Book[S]) banker() (ident.Incarnation, bool) {
 	var reached []ident.Incarnation
-	for _, peer := range b.Bankers {
+	for _, peer := range b.Banking.Bankers {
 		if slices.Contains(b.Peers, peer) {
 			reached = append(reached, peer)
 		}
@@ -110,19 +113,15 @@
 	return reached[xxhash.Sum64String(string(b.Self))%uint64(len(reached))], true
 }
 
-// refill brings what is held up to what the sizing policy wants, from the banker
-// or else from the store.
+// refill brings what is held up to what the sizing policy wants. A holder with a
+// banker keeps nothing in store: in a large fleet its own demand is less than one
+// request, and what all of them kept would be missing elsewhere. It turns to the
+// store only to learn what became of an earlier draw.
 func (b *Book[S]) refill(holding *Holding, now time.Time) Orders {
-	bank, ok := b.banker()
-	if !ok {
-		return b.draw(holding, now)
-	}
-	amount := b.amount(holding)
-	if amount == 0 || holding.Closing || now.Sub(holding.RefilledAt) < PullTimeout {
+	if _, ok := b.banker(); ok && !holding.Unsure {
 		return Orders{}
 	}
-	holding.RefilledAt = now
-	return Orders{Pulls: []Pull{b.pullOf(holding, bank, 0, amount)}}
+	return b.draw(holding, now)
 }
 
 // unanswered reports whether one of the peers may still answer in time.
@@ -190,14 +189,12 @@
 	}}}
 }
 
-// refund gives back what the sizing policy does not want to keep, to the banker or
-// else to the store. It is ordered again until the store has it: the credits have
-// left the purse by then.
+// refund gives back what the sizing policy does not want to keep. It is ordered
+// again until the store has it: the credits have left the purse by then. What
+// came from a banker is little, and stays.
 func (b *Book[S]) refund(holding *Holding, now time.Time) Orders {
-	if bank, ok := b.banker(); ok && !holding.Closing {
-		if surplus := holding.Purse.Take(b.Sizer.Surplus(b.situation(holding))); surplus > 0 {
-			return b.pass(holding, bank, surplus, now)
-		}
+	if _, ok := b.banker(); ok {
+		return Orders{}
 	}
 	if holding.Drawing || holding.Shut || !holding.Opened || now.Before(holding.RetryAt) {
 		return Orders{}
@@ -232,9 +229,17 @@
 	return amount
 }
 
+// holders returns how many processes share what remains.
+func (b *Book[S]) holders(holding *Holding) int {
+	if b.Banking.Banks {
+		return b.Banking.All
+	}
+	return len(holding.Others) + 1
+}
+
 // need returns what requests wait for, here and at those who refill here.
 func (b *Book[S]) need(holding *Holding) int64 {
-	if b.Banks {
+	if b.Banking.Banks {
 		return holding.Round.Need + holding.owed()
 	}
 	return holding.Round.Need
@@ -252,7 +257,7 @@
 		Granted:   holding.Granted,
 		Purchased: holding.Purchased,
 		Remaining: remaining,
-		Holders:   len(holding.Others) + 1,
+		Holders:   b.holders(holding),
 		Joint:     b.Joint,
 	}
 }
--- a/fleet/process/rights/transfer.go
+++ b/fleet/process/rights/transfer.go
@@ -60,12 +60,15 @@
 	ready := holding.Purse.Take(share)
 	exchange := holding.Peers[message.From]
 	exchange.Owed = min(share-ready, holding.Parked())
-	if b.Banks {
+	if b.Banking.Banks {
 		exchange.Owed = max(exchange.Owed, message.Need-ready)
 	}
 	holding.Peers[message.From] = exchange
 	orders := b.raise(holding, now)
-	if b.Banks && exchange.Owed > 0 {
+	if b.Banking.Banks && exchange.Owed > 0 && !now.Before(holding.DryUntil) {
+		if holding.Remaining == 0 {
+			holding.DryUntil = now.Add(MinDryTime)
+		}
 		orders.Add(b.draw(holding, now))
 	}
 	if ready > 0 || exchange.Owed == 0 {
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -157,7 +157,7 @@
 func (s *State) fleetChanged() {
 	members := s.view().Members()
 	s.Book.SetPeers(s.peers(members))
-	s.Book.SetBankers(bankers(members, s.view().Self()))
+	s.Book.SetBanking(banking(members, s.view().Self()))
 	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, len(members), FlushShare))
 	s.Keeper.SetPeers(s.Clock.Now(), s.keepers(members))
 	s.journal()
@@ -209,21 +209,26 @@
 	return ahead < ZoneWatchers
 }
 
-// bankers returns the members that draw on the store for the process, and whether
-// others draw by it. They are those that watch the store in its availability zone.
-func bankers(members []member.Member, self member.Member) (others []ident.Incarnation, banks bool) {
+// banking returns who draws on the store for whom: those that watch the store draw
+// for their availability zone.
+func banking(members []member.Member, self member.Member) rights.Banking {
+	var found rights.Banking
 	if len(members) <= SmallFleet {
-		return nil, false
-	}
-	if watches(members, self) {
-		return nil, true
+		return found
 	}
+	found.Banks = watches(members, self)
+	zones := make(map[vm.Place]int)
 	for _, peer := range members {
-		if peer.Place == self.Place && peer.State == member.Live && len(others) < ZoneWatchers {
-			others = append(others, peer.Incarnation)
+		if peer.State != member.Live || zones[peer.Place] == ZoneWatchers {
+			continue
+		}
+		zones[peer.Place]++
+		found.All++
+		if peer.Place == self.Place && !found.Banks {
+			found.Bankers = append(found.Bankers, peer.Incarnation)
 		}
 	}
-	return others, false
+	return found
 }
 
 // candidate is a member that can be reached, with its rank as a guard.
