Split what grew, one reader of whole answers, tests of reload and of the deployed settings

node.go gives its adapter's seam to adapter.go, settings.go its checks to check.go; Whole and Verbatim read bodies by one function. proof.TestReload holds SIGHUP as a process, TestDeployedSettings the template.

--- a/fleet/request/serve/verbatim.go
+++ b/fleet/request/serve/verbatim.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 
 	"jacinthpaddle.example/fleet/connection/endpoint"
 	"jacinthpaddle.example/fleet/request/admit"
-	"jacinthpaddle.example/fleet/request/outcome"
 )
 
 // Verbatim relays an answer as it is once the whole of it has arrived. An answer
@@ -18,13 +15,9 @@
 
 // Relay implements Relay.
 func (v Verbatim) Relay(_ context.Context, plan admit.Plan, answer *endpoint.Answer, _ Sink) Relayed {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, v.MaxBytes+1))
-	if err != nil {
-		return Relayed{Err: err}
-	}
-	if int64(len(body)) > v.MaxBytes {
-		reason := fmt.Sprintf("the answer is larger than %d bytes", v.MaxBytes)
-		return Relayed{Charge: plan.Reserve, Err: ran(outcome.TooLarge, reason)}
+	body, failed := readWhole(plan, answer, v.MaxBytes)
+	if failed.Err != nil {
+		return failed
 	}
 	result := Result{Status: answer.Status, Header: answer.Header, Body: body}
 	return Relayed{Result: result, Charge: plan.Reserve}
--- a/fleet/request/serve/whole.go
+++ b/fleet/request/serve/whole.go
@@ -22,13 +22,9 @@
 
 // Relay implements Relay.
 func (w Whole) Relay(_ context.Context, plan admit.Plan, answer *endpoint.Answer, _ Sink) Relayed {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, w.MaxBytes+1))
-	if err != nil {
-		return Relayed{Err: err}
-	}
-	if int64(len(body)) > w.MaxBytes {
-		reason := fmt.Sprintf("the answer is larger than %d bytes", w.MaxBytes)
-		return Relayed{Charge: plan.Reserve, Err: ran(outcome.TooLarge, reason)}
+	body, failed := readWhole(plan, answer, w.MaxBytes)
+	if failed.Err != nil {
+		return failed
 	}
 	if !answer.Framed {
 		return Relayed{Charge: plan.Floor, Err: ran(outcome.Truncated, "the end of the answer cannot be told from a cut")}
@@ -44,6 +40,20 @@
 	return w.chat(plan, done)
 }
 
+// readWhole reads the body of an answer up to a bound. What it returns besides has
+// an error if there is no whole body.
+func readWhole(plan admit.Plan, answer *endpoint.Answer, limit int64) ([]byte, Relayed) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	if err != nil {
+		return nil, Relayed{Err: err}
+	}
+	if int64(len(body)) > limit {
+		reason := fmt.Sprintf("the answer is larger than %d bytes", limit)
+		return nil, Relayed{Charge: plan.Reserve, Err: ran(outcome.TooLarge, reason)}
+	}
+	return body, Relayed{}
+}
+
 // chat charges a chat completion by the usage it carries.
 func (w Whole) chat(plan admit.Plan, done Relayed) Relayed {
 	var completion struct {
--- a/proof/process/harness/fleet.go
+++ b/proof/process/harness/fleet.go
@@ -152,12 +152,21 @@
 func (f *Fleet) StartRouter(t *testing.T, index int) {
 	t.Helper()
 	router := f.Routers[index]
-	path := filepath.Join(f.folder, router.VM.Name+".ini")
-	writeFile(t, path, f.settings(router.VM))
+	path := f.WriteSettings(t, index, "")
 	router.Process = startProcess(f.owner, router.VM.Name, program("router"), "run", "--settings", path)
 	Await(t, router.VM.Name+" to answer", func() bool { return answers(router.operators("/status")) })
 }
 
+// WriteSettings writes the settings of a router, with more at their end, and
+// returns their path.
+func (f *Fleet) WriteSettings(t *testing.T, index int, more string) string {
+	t.Helper()
+	machine := f.Routers[index].VM
+	path := filepath.Join(f.folder, machine.Name+".ini")
+	writeFile(t, path, f.settings(machine)+more)
+	return path
+}
+
 // settings returns the settings of the router on the VM.
 func (f *Fleet) settings(machine vm.VM) string {
 	address := f.PlatformAddress
--- a/proof/process/harness/process.go
+++ b/proof/process/harness/process.go
@@ -64,6 +64,11 @@
 	return started
 }
 
+// Log returns what the process has written.
+func (p *process) Log() string {
+	return p.log.String()
+}
+
 // Signal sends the signal to a process that still runs.
 func (p *process) Signal(signal syscall.Signal) {
 	select {
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -24,17 +23,12 @@
 	"jacinthpaddle.example/fleet/connection/peer"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/control"
-	"jacinthpaddle.example/fleet/process/current"
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/meter"
-	"jacinthpaddle.example/fleet/process/platform"
 	"jacinthpaddle.example/fleet/process/secret"
-	"jacinthpaddle.example/fleet/process/store"
-	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/request/serve"
-	"jacinthpaddle.example/fleet/version/snapshot"
 	"jacinthpaddle.example/router/connection/listener"
 	"jacinthpaddle.example/router/request/front"
 )
@@ -87,48 +81,6 @@
 	Adapter Adapter
 }
 
-// Platform is a client of the platform's service.
-type Platform interface {
-	store.Store
-	vm.Lister
-	// Close closes the connections that are not in use.
-	Close()
-}
-
-// Adapter translates between a platform and the product.
-type Adapter interface {
-	// Platform returns the client of the platform's service.
-	Platform(settings Settings, clk clock.Clock, config platform.Config) Platform
-	// Dialect is spoken with endpoints.
-	Dialect() endpoint.Dialect
-	// Sockets returns the callers' front ends.
-	Sockets(parts Parts) []Socket
-}
-
-// Parts are what a front end is made of.
-type Parts struct {
-	Self    ident.Incarnation
-	Place   vm.Place
-	Clock   clock.Clock
-	Log     *event.Log
-	Metrics *meter.Metrics
-	Views   *current.Value[*snapshot.Snapshot]
-	Runner  *serve.Runner
-	Listen  ListenSettings
-	Limits  LimitSettings
-	Locate  LocateSettings
-	// Members returns the fleet as this process sees it.
-	Members func() []member.Member
-	// Ready reports whether new callers should come.
-	Ready func() bool
-}
-
-// Socket is an address, an IP number and a port, and what is served there.
-type Socket struct {
-	Address string
-	Handler http.Handler
-}
-
 // Node is one router process.
 type Node struct {
 	Deps
@@ -191,31 +143,6 @@
 	return node, node.listen()
 }
 
-// wirePlatform returns the client of the platform's service.
-func (n *Node) wirePlatform() Platform {
-	config := platform.Config{
-		Address:      n.Settings.Platform.Address,
-		ReadTimeout:  n.Settings.Platform.CallTimeout,
-		WriteTimeout: n.Settings.Platform.CallTimeout,
-		WatchMargin:  n.Settings.Platform.WatchMargin,
-		Observe: func(operation string) {
-			n.metrics.PlatformCalls.Add(n.ctx, 1, meter.Operation(operation))
-		},
-	}
-	if n.Adapter == nil {
-		return platform.New(n.Clock, config)
-	}
-	return n.Adapter.Platform(n.Settings, n.Clock, config)
-}
-
-// dialect returns what is spoken with endpoints, nil being the fleet's own.
-func (n *Node) dialect() endpoint.Dialect {
-	if n.Adapter == nil {
-		return nil
-	}
-	return n.Adapter.Dialect()
-}
-
 // wireControl joins the control thread and the hub. Each needs the other: the
 // hub hears nothing before its socket is open, which is after both are set.
 func (n *Node) wireControl() {
@@ -261,61 +188,6 @@
 	}
 }
 
-// callerSockets returns the callers' front ends.
-func (n *Node) callerSockets() []Socket {
-	if n.Adapter == nil {
-		return []Socket{{Address: n.Settings.callerAddress(), Handler: n.front}}
-	}
-	sockets := n.Adapter.Sockets(n.parts())
-	for index, socket := range sockets {
-		sockets[index].Handler = n.counted(socket.Handler)
-	}
-	return sockets
-}
-
-// parts returns what an adapter's front ends are made of.
-func (n *Node) parts() Parts {
-	return Parts{
-		Self:    n.Self,
-		Place:   n.Settings.Place(),
-		Clock:   n.Clock,
-		Log:     n.Log,
-		Metrics: n.metrics,
-		Views:   n.state.InForce,
-		Runner:  n.runner,
-		Listen:  n.Settings.Listen,
-		Limits:  n.Settings.Limits,
-		Locate:  n.Settings.Locate,
-		Members: n.members,
-		Ready:   n.ready,
-	}
-}
-
-func (n *Node) members() []member.Member {
-	if members := n.state.Fleet.Load(); members != nil {
-		return *members
-	}
-	return nil
-}
-
-// ready reports whether the process knows a configuration and is not leaving.
-func (n *Node) ready() bool {
-	_, known := n.state.InForce.Load()
-	return known && !n.leaving.Load()
-}
-
-// counted counts the requests in progress of a handler.
-func (n *Node) counted(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		n.open.Add(1)
-		defer n.open.Add(-1)
-		if n.leaving.Load() {
-			writer.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(writer, request)
-	})
-}
-
 func (n *Node) listen() error {
 	limits := listener.Limits{
 		MaxHeaderBytes:    n.Settings.Limits.MaxHeaderBytes,
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -1,16 +1,12 @@
 package node
 
 import (
-	"fmt"
 	"net"
-	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
 
 	"jacinthpaddle.example/fleet/process/account"
 	"jacinthpaddle.example/fleet/process/rights"
@@ -234,98 +230,3 @@
 func (s Settings) peerAddress(machine vm.VM) string {
 	return net.JoinHostPort(machine.Address, strconv.Itoa(s.Listen.PeerPort))
 }
-
-type checker struct {
-	faults []setting.Fault
-}
-
-func (c *checker) require(ok bool, section, key, reason string) {
-	if !ok {
-		c.faults = append(c.faults, setting.Fault{Section: section, Key: key, Reason: reason})
-	}
-}
-
-func (c *checker) positive(value time.Duration, section, key string) {
-	c.require(value > 0, section, key, "must be more than zero")
-}
-
-func (c *checker) within(value, low, high int64, section, key string) {
-	c.require(value >= low && value <= high, section, key, fmt.Sprintf("must be from %d to %d", low, high))
-}
-
-func (s Settings) faults() []setting.Fault {
-	check := &checker{}
-	s.checkPlace(check)
-	s.checkPorts(check)
-	s.checkLimits(check)
-	s.checkTimes(check)
-	return check.faults
-}
-
-func (s Settings) checkPlace(check *checker) {
-	_, err := netip.ParseAddr(s.VM.Address)
-	check.require(err == nil, "vm", "address", "must be an IP number")
-	check.require(s.VM.Name != "", "vm", "name", "is missing")
-	check.require(s.VM.Region != "", "vm", "region", "is missing")
-	check.require(s.VM.AvailabilityZone != "", "vm", "availability_zone", "is missing")
-	_, _, err = net.SplitHostPort(s.Platform.Address)
-	check.require(err == nil, "platform", "address", "must be host:port")
-	check.require(s.Fleet.EntryPool != "", "fleet", "entry_pool", "is missing")
-	check.require(len(s.Fleet.Secret) >= 16, "fleet", "secret", "must have at least 16 characters")
-	for key, address := range map[string]string{
-		"callers": s.Listen.Callers, "ready": s.Listen.Ready, "locate": s.Listen.Locate,
-	} {
-		_, err = netip.ParseAddrPort(address)
-		check.require(address == "" || err == nil, "listen", key, "must be an IP number and a port")
-	}
-	_, err = logrus.ParseLevel(s.Log.Level)
-	check.require(err == nil, "log", "level", "must be debug, info, warning or error")
-}
-
-func (s Settings) checkPorts(check *checker) {
-	ports := []int{s.Listen.CallerPort, s.Listen.PeerPort, s.Listen.OperatorsPort, s.Listen.MetricsPort}
-	keys := []string{"caller_port", "peer_port", "operators_port", "metrics_port"}
-	for index, port := range ports {
-		check.within(int64(port), 1, 65535, "listen", keys[index])
-		check.require(!slices.Contains(ports[:index], port), "listen", keys[index], "is used twice")
-	}
-}
-
-func (s Settings) checkLimits(check *checker) {
-	check.within(s.Limits.MaxBodyBytes, 1<<10, 64<<20, "limits", "max_body_bytes")
-	check.within(int64(s.Limits.MaxHeaderBytes), 1<<10, 1<<20, "limits", "max_header_bytes")
-	check.within(s.Limits.MaxAnswerBytes, 1<<10, 256<<20, "limits", "max_answer_bytes")
-	check.within(int64(s.Limits.MaxConcurrent), 1, 1<<20, "limits", "max_concurrent")
-	check.within(int64(s.Rights.Holders), 1, 64, "rights", "holders")
-	check.within(int64(s.Rights.SharePercent), 1, 100*int64(s.Rights.Holders), "rights", "share_percent")
-	check.within(int64(s.Journal.Copies), 0, 4, "journal", "copies")
-	check.require(s.Journal.Copies > 0 || !s.Journal.Wait, "journal", "copies", "must not be zero while requests wait for them")
-	check.within(int64(s.Rights.RefillPercent), 1, 100, "rights", "refill_percent")
-	check.within(int64(s.Log.ServedPerSecond), 0, 1<<20, "log", "served_per_second")
-	check.within(int64(s.Rights.Pages), 1, account.PageCount, "rights", "pages")
-	check.within(int64(s.Platform.Polled), 0, 1024, "platform", "polled_endpoints")
-	check.within(int64(s.Retries.SharePercent), 0, 100, "retries", "share_percent")
-	check.within(int64(s.Retries.Slack), 0, 1<<20, "retries", "slack")
-}
-
-func (s Settings) checkTimes(check *checker) {
-	check.positive(s.Platform.CallTimeout, "platform", "call_timeout")
-	check.positive(s.Platform.WatchWait, "platform", "watch_wait")
-	check.positive(s.Platform.ListInterval, "platform", "list_interval")
-	check.positive(s.Platform.WatchMargin, "platform", "watch_margin")
-	check.positive(s.Platform.WatchRetry, "platform", "watch_retry")
-	check.positive(s.Limits.CloseTimeout, "limits", "close_timeout")
-	check.positive(s.Rights.Window, "rights", "window")
-	check.positive(s.Retries.Window, "retries", "window")
-	check.positive(s.Limits.ReadHeaderTimeout, "limits", "read_header_timeout")
-	check.positive(s.Limits.ReadBodyTimeout, "limits", "read_body_timeout")
-	check.positive(s.Limits.DrainTimeout, "limits", "drain_timeout")
-	check.positive(s.Limits.MaxQueueWait, "limits", "max_queue_wait")
-	check.positive(s.Rights.Horizon, "rights", "horizon")
-	check.positive(s.Rights.Ready, "rights", "ready")
-	check.positive(s.Rights.SearchTimeout, "rights", "search_timeout")
-	check.positive(s.Journal.FlushInterval, "journal", "flush_interval")
-	check.positive(s.Journal.OpenTimeout, "journal", "open_timeout")
-	check.positive(s.Journal.FinalTimeout, "journal", "final_timeout")
-	check.positive(s.Locate.TTL, "locate", "ttl")
-}
