--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -10,6 +10,7 @@
 
 import (
 	"io"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 )
@@ -33,6 +34,7 @@
 	DrainIncomplete  = Kind{1008, "drain ended with work left", logrus.WarnLevel}
 	Reloaded         = Kind{1009, "settings reloaded", logrus.InfoLevel}
 	ReloadRefused    = Kind{1010, "reloaded settings refused", logrus.ErrorLevel}
+	LibraryMessage   = Kind{1011, "message of a library", logrus.WarnLevel}
 	GenerationTaken  = Kind{2001, "generation taken", logrus.InfoLevel}
 	GenerationFailed = Kind{2002, "generation not readable", logrus.WarnLevel}
 	PlatformDown     = Kind{3001, "platform unavailable", logrus.WarnLevel}
@@ -64,7 +66,7 @@
 func All() []Kind {
 	return []Kind{
 		Started, Draining, Stopped, BadSettings, ListenFailed, ControlPanicked, DumpWritten, DrainIncomplete,
-		Reloaded, ReloadRefused,
+		Reloaded, ReloadRefused, LibraryMessage,
 		GenerationTaken, GenerationFailed,
 		PlatformDown, PlatformBack,
 		GrantFailed, RightsReturned, RightsReclaimed, HolderClosed, RightsWrittenOff, RightsDrawn,
@@ -120,6 +122,16 @@
 	l.entry.Logger.SetLevel(level)
 }
 
+// Write implements io.Writer for libraries that write lines of text.
+func (l *Log) Write(line []byte) (int, error) {
+	text := strings.TrimSpace(string(line))
+	l.Emit(LibraryMessage, Text("text", text[:min(len(text), MaxLibraryText)]))
+	return len(line), nil
+}
+
+// MaxLibraryText bounds the text of one LibraryMessage, in bytes.
+const MaxLibraryText = 200
+
 // Emit writes one event.
 func (l *Log) Emit(kind Kind, fields ...Field) {
 	entry := l.entry.WithField("event", kind.Number)
--- a/fleet/process/vm/vm.go
+++ b/fleet/process/vm/vm.go
@@ -6,10 +6,7 @@
 //	entries := vm.InPool(list, "entry")
 package vm
 
-import (
-	"context"
-	"slices"
-)
+import "context"
 
 // State is the platform's word on a VM.
 type State string
@@ -53,19 +50,19 @@
 	return members
 }
 
-// Kept returns the list with the VMs of an earlier one that are missing from it.
-func Kept(list, earlier []VM) []VM {
+// Missing returns the VMs of an earlier list that are missing from the list.
+func Missing(list, earlier []VM) []VM {
 	listed := make(map[string]bool, len(list))
 	for _, machine := range list {
 		listed[machine.Name] = true
 	}
-	kept := slices.Clone(list)
+	var missing []VM
 	for _, machine := range earlier {
 		if !listed[machine.Name] {
-			kept = append(kept, machine)
+			missing = append(missing, machine)
 		}
 	}
-	return kept
+	return missing
 }
 
 // Distance grades how far two places lie apart.
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -138,7 +138,7 @@
 	failed := failure{moment: endpoint.AfterHeaders, said: answer.Run}
 	if err := r.checkAnswer(answer, call.Mark); err != nil {
 		r.release(job, state, judgeRefused(answer, err))
-		return Relayed{Err: err, Failure: ownFailure(job, answer)}, failed
+		return Relayed{Err: err, Failure: ownFailure(job, answer, err)}, failed
 	}
 	done := job.Relay.Relay(ctx, job.Plan, answer, &beginning{Sink: sink, begun: begun})
 	r.release(job, state, judgeRelayed(answer, done.Err))
@@ -173,9 +173,10 @@
 }
 
 // ownFailure reads the whole failure of an endpoint that ran the request, or
-// returns nil if there is none to pass on.
-func ownFailure(job Job, answer *endpoint.Answer) *Result {
-	if !job.PassFailures || answer.Run == journal.NotRun {
+// returns nil if there is none to pass on. The answer of another attempt is none.
+func ownFailure(job Job, answer *endpoint.Answer, err error) *Result {
+	var refused *RefusedError
+	if !job.PassFailures || answer.Run == journal.NotRun || !errors.As(err, &refused) {
 		return nil
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxFailureBytes+1))
--- a/fleet/request/serve/events_test.go
+++ b/fleet/request/serve/events_test.go
@@ -149,6 +149,25 @@
 	}
 }
 
+// The answer of another attempt is no failure of this one: it was passed on as such
+// (hunted day runners-that-spoil, seed 81009153088).
+func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
+	made := newRig(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(endpoint.AttemptHeader, "another")
+		_, _ = writer.Write([]byte("of another"))
+	})
+	made.plan.Idempotent = false
+	call := endpoint.Call{Method: http.MethodGet, Path: "/", Header: http.Header{}}
+	job := serve.Job{Request: "self-1", Plan: made.plan, Call: call, Relay: serve.Verbatim{MaxBytes: 100}, PassFailures: true}
+	var typed *outcome.Error
+	if err := made.runner.Run(t.Context(), job, made.sink); !errors.As(err, &typed) {
+		t.Errorf("run: got %v, want an outcome error", err)
+	}
+	if made.sink.ended {
+		t.Errorf("answer: got %q, want none", made.sink.result.Body)
+	}
+}
+
 func TestVerbatimIsWholeOrFails(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/router/process/launch/launch.go
+++ b/router/process/launch/launch.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -129,6 +130,8 @@
 	lines := event.NewQueue(out, LogQueueLines)
 	defer lines.Flush(FlushTimeout)
 	log := event.NewLog(lines, level, event.Text("vm", settings.VM.Name))
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log)
 	deps := node.Deps{
 		Clock:        clock.New(),
 		Log:          log,
--- a/router/process/node/leave.go
+++ b/router/process/node/leave.go
@@ -31,7 +31,7 @@
 	} else {
 		n.Log.Emit(event.DrainIncomplete, event.Text("left", "rights or journal"))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), min(time.Second, n.Settings.Limits.CloseTimeout))
 	defer cancel()
 	n.hub.Close(ctx)
 	n.stop()
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -244,7 +244,6 @@
 		thread:   n.thread,
 		log:      n.Log,
 		interval: n.Settings.Platform.ListInterval,
-		grace:    n.Settings.Platform.ReturnGrace,
 		members:  n.state.Fleet,
 	}
 	pointer := &watcher{
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -158,7 +158,7 @@
 	members := s.view().Members()
 	s.Book.SetPeers(s.peers(members))
 	s.Book.SetBanking(banking(members, s.view().Self()))
-	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, len(members), FlushShare))
+	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, running(members), FlushShare))
 	s.Keeper.SetPeers(s.Clock.Now(), s.keepers(members))
 	s.journal()
 	s.resizeRetries(running(members))
@@ -173,15 +173,16 @@
 	s.Retries.SetConfig(retry.FleetBudget(share, float64(settings.Slack), settings.Window, processes))
 }
 
-// running counts the members that are not known to have ended.
+// running counts the VMs on which a member is not known to have ended. Records of
+// earlier processes there are kept for minutes and must not count.
 func running(members []member.Member) int {
-	count := 0
+	vms := make(map[string]bool)
 	for _, known := range members {
 		if known.State != member.Gone {
-			count++
+			vms[known.VM] = true
 		}
 	}
-	return count
+	return len(vms)
 }
 
 // spaced stretches an interval with the size of the fleet, so that all routers
@@ -197,7 +198,7 @@
 // watches reports whether the process is one of those that watch the store: all
 // of a small fleet, else the first ones of each availability zone.
 func watches(members []member.Member, self member.Member) bool {
-	if len(members) <= SmallFleet {
+	if running(members) <= SmallFleet {
 		return true
 	}
 	ahead := 0
@@ -213,7 +214,7 @@
 // for their availability zone.
 func banking(members []member.Member, self member.Member) rights.Banking {
 	var found rights.Banking
-	if len(members) <= SmallFleet {
+	if running(members) <= SmallFleet {
 		return found
 	}
 	found.Banks = watches(members, self)
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -94,9 +94,7 @@
 }
 
 // lister reads the platform's list of VMs, the more seldom the larger the fleet,
-// so that all routers together stay within the platform's rates. VMs that are
-// missing from the list within the grace after the platform was away stay in it,
-// since their entries can have lapsed meanwhile.
+// so that all routers together stay within the platform's rates.
 type lister struct {
 	clock    clock.Clock
 	vms      vm.Lister
@@ -104,9 +102,6 @@
 	log      *event.Log
 	interval time.Duration
 	members  *atomic.Pointer[[]member.Member]
-	grace    time.Duration
-	held     []vm.VM
-	back     time.Time
 	down     bool
 }
 
@@ -122,7 +117,7 @@
 	if members == nil {
 		return l.interval
 	}
-	return spaced(l.interval, len(*members), ListShare)
+	return spaced(l.interval, running(*members), ListShare)
 }
 
 func (l *lister) poll(ctx context.Context) {
@@ -134,16 +129,11 @@
 		l.down = true
 		return
 	}
-	now, back := l.clock.Now(), l.down
+	back := l.down
 	if back {
 		l.log.Emit(event.PlatformBack)
-		l.back = now
 	}
 	l.down = false
-	if !l.back.IsZero() && now.Sub(l.back) < l.grace {
-		list = vm.Kept(list, l.held)
-	}
-	l.held = list
 	l.thread.Tell(Listed{List: list, Back: back})
 }
 
@@ -169,12 +159,21 @@
 		for err == nil && ctx.Err() == nil && w.waits.Load() {
 			version, err = w.follow(ctx, version)
 		}
-		pause := PointerInterval
 		if err != nil && ctx.Err() == nil {
 			w.log.Emit(event.GenerationFailed, event.Cause(err))
-			pause = w.retry
+			sleep(ctx, w.clock, w.retry)
+			continue
 		}
-		sleep(ctx, w.clock, pause)
+		w.idle(ctx)
+	}
+}
+
+// idle waits until the pointer is to be read again: after PointerInterval, or once
+// this process is one of those that watch.
+func (w *watcher) idle(ctx context.Context) {
+	end := w.clock.Now().Add(PointerInterval)
+	for ctx.Err() == nil && !w.waits.Load() && w.clock.Now().Before(end) {
+		sleep(ctx, w.clock, WatchRetry)
 	}
 }
 
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -113,16 +113,18 @@
 	Endpoints      *endpoint.Table
 	EndpointConfig endpoint.Config
 
-	list       []vm.VM
-	pages      map[string]*pageState
-	waiters    map[string][]Waiter
-	records    map[int64]chan<- error
-	recoveries map[RecoveryKey]*rights.Recovery
-	inspected  map[ident.Incarnation]bool
-	signs      map[string]endpointSigns
-	offers     offers
-	ticked     time.Time
-	ousted     bool
+	list        []vm.VM
+	lapsed      []vm.VM
+	lapsedUntil time.Time
+	pages       map[string]*pageState
+	waiters     map[string][]Waiter
+	records     map[int64]chan<- error
+	recoveries  map[RecoveryKey]*rights.Recovery
+	inspected   map[ident.Incarnation]bool
+	signs       map[string]endpointSigns
+	offers      offers
+	ticked      time.Time
+	ousted      bool
 }
 
 // endpointConfig returns what the settings say of endpoints.
@@ -193,6 +195,7 @@
 func (Tick) Apply(state *State) {
 	now := state.Clock.Now()
 	state.serveAll()
+	state.dropLapsed(now)
 	state.Keeper.Tick(now)
 	state.journal()
 	if now.Sub(state.ticked) < BookInterval {
--- a/router/process/node/state_test.go
+++ b/router/process/node/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
@@ -21,6 +22,7 @@
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/rights"
 	"jacinthpaddle.example/fleet/process/store"
+	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/version/declare"
 	"jacinthpaddle.example/fleet/version/generation"
 	"jacinthpaddle.example/router/process/node"
@@ -380,3 +382,57 @@
 	rig.thread.Tell(node.Received{Message: peer.Message{From: "b", Generation: &peer.Generation{Number: 3}}})
 	check("newer one offered", "a", "b", "a", "b")
 }
+
+// Records of processes that were replaced are kept for minutes: a fleet of three VMs
+// stays one in which every process watches the store (hunted day trouble-2, seed
+// 327904958249, where one heard of a configuration 6 s late).
+func TestReplacedProcessesDoNotMakeAFleetLarge(t *testing.T) {
+	fake := clock.NewFake()
+	log := event.NewLog(io.Discard, logrus.ErrorLevel)
+	place := vm.Place{Region: "western", AvailabilityZone: "hall"}
+	member := func(name ident.Incarnation, machine string) member.Member {
+		return member.Member{Incarnation: name, VM: machine, CallerAddress: machine, Place: place, State: member.Live, Sequence: 1, Started: fake.Now()}
+	}
+	others := []ident.Incarnation{}
+	state := node.NewState(member("zz", "vm-0"), node.DefaultSettings(), nil, fake, log, &silent{})
+	for index := range 3 * node.SmallFleet {
+		name := ident.Incarnation(fmt.Sprintf("a%02d", index))
+		hello := peer.Hello{Member: member(name, fmt.Sprintf("vm-%d", index%3))}
+		node.LinkUp{Remote: name, Hello: hello}.Apply(state)
+		others = append(others, name)
+	}
+	if !state.Watches.Load() {
+		t.Errorf("watches: got false with %d records of 3 VMs, want true", len(others))
+	}
+}
+
+// VMs that are missing when the platform comes back may have lapsed with it, and stay
+// for a grace. One that leaves afterwards is gone at once (hunted day hunt-fc67-27).
+func TestLapsedEndpointsStayForAGrace(t *testing.T) {
+	fake := clock.NewFake()
+	settings := node.DefaultSettings()
+	settings.Platform.ReturnGrace = 2 * time.Second
+	self := member.Member{Incarnation: "self", VM: "vm-0", State: member.Live, Sequence: 1}
+	state := node.NewState(self, settings, nil, fake, event.NewLog(io.Discard, logrus.ErrorLevel), &silent{})
+	state.Generation.Set.Pools = []declare.Pool{{Name: "engines", Kind: declare.EndpointPool, Port: 80}}
+	machine := func(name string) vm.VM { return vm.VM{Name: name, Address: name, Pool: "engines", State: vm.Live} }
+	check := func(moment string, want ...string) {
+		t.Helper()
+		var got []string
+		for _, endpoint := range state.Endpoints.View().Members("engines") {
+			got = append(got, endpoint.VM.Name)
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: got %v, want %v", moment, got, want)
+		}
+	}
+	node.Listed{List: []vm.VM{machine("a"), machine("b"), machine("c")}}.Apply(state)
+	node.Listed{List: []vm.VM{machine("a"), machine("b")}, Back: true}.Apply(state)
+	check("when the platform is back", "a", "b", "c")
+	node.Listed{List: []vm.VM{machine("a")}}.Apply(state)
+	check("one left since", "a", "c")
+	fake.Advance(settings.Platform.ReturnGrace)
+	node.Tick{}.Apply(state)
+	check("after the grace", "a")
+}
--- a/router/process/node/version.go
+++ b/router/process/node/version.go
@@ -43,6 +43,10 @@
 
 // Apply implements control.Message.
 func (m Listed) Apply(state *State) {
+	if m.Back {
+		state.lapsed = vm.Missing(m.List, state.list)
+		state.lapsedUntil = state.Clock.Now().Add(state.Settings.Platform.ReturnGrace)
+	}
 	state.list = m.List
 	entries := vm.InPool(m.List, state.Settings.Fleet.EntryPool)
 	state.Membership.SetPlatform(entries, state.Settings.peerAddress)
@@ -55,8 +59,20 @@
 	}
 }
 
+// endpointsChanged rebuilds the endpoints from the list. VMs that were missing when
+// the platform came back stay in use for a grace, since their entries can have
+// lapsed meanwhile. One that leaves the list later is gone at once.
 func (s *State) endpointsChanged() {
-	s.Endpoints.Update(s.list, s.Generation.Set.Pools)
+	list := append(slices.Clone(s.list), vm.Missing(s.list, s.lapsed)...)
+	s.Endpoints.Update(list, s.Generation.Set.Pools)
+}
+
+// dropLapsed ends the grace of VMs that did not come back.
+func (s *State) dropLapsed(now time.Time) {
+	if len(s.lapsed) > 0 && !now.Before(s.lapsedUntil) {
+		s.lapsed = nil
+		s.endpointsChanged()
+	}
 }
 
 // announce tells a peer which generation is in force here.
