Take no new connections in a drain once the addresses given out have expired

Ruled out: a longer drain, which ends with SIGKILL. Change: with an adapter the callers' sockets are shut when the time to live of answers is over, and the process waits for what is in progress. The fleet's own front end stays as it was, since repeats with a key may find their answer there. Test: TestDrainTakesNoLateRequests, seen failing.

--- /dev/null
+++ b/router/process/node/drain_test.go
@@ -0,0 +1,103 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jacinthpaddle.example/fleet/connection/endpoint"
+	"jacinthpaddle.example/fleet/process/clock"
+	"jacinthpaddle.example/fleet/process/event"
+	"jacinthpaddle.example/fleet/process/platform"
+	"jacinthpaddle.example/fleet/process/store"
+	"jacinthpaddle.example/fleet/process/store/memory"
+	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/router/process/node"
+)
+
+// memoryPlatform is a platform in memory, whose list is empty.
+type memoryPlatform struct{ store.Store }
+
+func (memoryPlatform) VMs(context.Context) ([]vm.VM, error) { return nil, nil }
+func (memoryPlatform) Close()                               {}
+
+// slowAdapter serves requests that end when they are let.
+type slowAdapter struct {
+	address string
+	begun   chan struct{}
+	let     chan struct{}
+}
+
+func (slowAdapter) Platform(_ node.Settings, clk clock.Clock, _ platform.Config) node.Platform {
+	return memoryPlatform{memory.New(clk)}
+}
+
+func (slowAdapter) Dialect() endpoint.Dialect { return nil }
+
+func (a slowAdapter) Sockets(node.Parts) []node.Socket {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		close(a.begun)
+		<-a.let
+		_, _ = io.WriteString(writer, "whole")
+	})
+	return []node.Socket{{Address: a.address, Handler: handler}}
+}
+
+// A process that stops takes no requests once the answers that name it have expired:
+// one that came late was cut at the end of the grace (hunted mix, seed 83881868348).
+// Those in progress are finished.
+func TestDrainTakesNoLateRequests(t *testing.T) {
+	adapter := slowAdapter{address: "127.0.0.29:7970", begun: make(chan struct{}), let: make(chan struct{})}
+	settings := node.DefaultSettings()
+	settings.VM = node.VMSettings{Name: "vm-1", Address: "127.0.0.29", Region: "western", AvailabilityZone: "hall"}
+	settings.Listen = node.ListenSettings{Callers: adapter.address, CallerPort: 7970, PeerPort: 7971, OperatorsPort: 7972, MetricsPort: 7973}
+	settings.Platform.Address = "127.0.0.29:7974"
+	settings.Fleet.Secret = "secret-of-this-test"
+	settings.Locate.TTL = 100 * time.Millisecond
+	router, err := node.New(settings, node.Deps{
+		Clock: clock.New(), Log: event.NewLog(io.Discard, logrus.ErrorLevel), Fatal: func(any) {}, Adapter: adapter,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- router.Run(t.Context()) }()
+	answered := make(chan string, 1)
+	go func() {
+		answer, err := http.Get("http://" + adapter.address)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		content, _ := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		answered <- string(content)
+	}()
+	<-adapter.begun
+	router.Drain()
+	refused := func() bool {
+		connection, err := net.Dial("tcp", adapter.address)
+		if err == nil {
+			_ = connection.Close()
+		}
+		return err != nil
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for !refused() {
+		if time.Now().After(deadline) {
+			t.Fatal("new connections are still taken with a request in progress")
+		}
+	}
+	close(adapter.let)
+	if got, want := <-answered, "whole"; got != want {
+		t.Errorf("request in progress: got %q, want %q", got, want)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("run: got %v, want no error", err)
+	}
+}
--- a/router/process/node/leave.go
+++ b/router/process/node/leave.go
@@ -21,11 +21,10 @@
 	n.thread.Tell(Depart{})
 	n.wait(n.Settings.Locate.TTL, func() bool { return false })
 	n.closed.Store(true)
-	idle := func() bool { return n.inProgress() == 0 }
-	if !n.wait(n.Settings.Limits.DrainTimeout, idle) {
+	if !n.finish() {
 		n.Log.Emit(event.DrainIncomplete, event.Number("requests", n.inProgress()))
 	}
-	n.closeSockets()
+	n.closeSockets(time.Second)
 	if n.wait(n.Settings.Limits.CloseTimeout, n.givenBack) {
 		n.Log.Emit(event.RightsReturned)
 	} else {
@@ -57,8 +56,22 @@
 	return true
 }
 
-func (n *Node) closeSockets() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+// finish waits for the requests in progress and reports whether none is left. The
+// fleet's own front end goes on to answer requests with a key, whose answers it may
+// hold. Others take no new requests: one that came late would be cut.
+func (n *Node) finish() bool {
+	idle := func() bool { return n.inProgress() == 0 }
+	if n.Adapter == nil {
+		return n.wait(n.Settings.Limits.DrainTimeout, idle)
+	}
+	n.closeSockets(n.Settings.Limits.DrainTimeout)
+	return idle()
+}
+
+// closeSockets takes no new callers' connections and waits, up to the limit, for
+// the requests in progress.
+func (n *Node) closeSockets(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for _, socket := range n.sockets.callers {
 		_ = socket.Shutdown(ctx)
