Compute the fleet's size once, look up the last holder alone, one sink that tells the beginning

Each change of the fleet counted its VMs four times, a map each; a chat completion with a prefix hashed every endpoint to learn only which one was chosen last; timed and beginning were one sink written twice; admit.Plan.Priority was set and never read. Ruled out: one list for the three sets of connection headers, which differ in what they hold for a reason each. Behaviour is as before; no test changed.

--- a/fleet/request/admit/admit.go
+++ b/fleet/request/admit/admit.go
@@ -52,8 +52,6 @@
 	Resumable bool
 	// TokensPerEvent is how many output tokens one event holds at most.
 	TokensPerEvent int64
-	// Priority of the request, zero being first.
-	Priority int
 }
 
 // Size is what bounds the cost of a chat completion. MaxOutput is in tokens;
--- a/fleet/request/admit/path.go
+++ b/fleet/request/admit/path.go
@@ -54,7 +54,6 @@
 		Streamed:       path.Kind == declare.StreamPath,
 		Resumable:      path.Resumable && path.Kind == declare.StreamPath,
 		TokensPerEvent: max(1, pool.TokensPerEvent),
-		Priority:       path.Priority,
 	}
 	if team.Budget != "" {
 		plan.Reserve = reserve
--- a/fleet/request/choose/engine.go
+++ b/fleet/request/choose/engine.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,12 +47,15 @@
 // quickest returns the index of the engine that is expected to begin to answer
 // first. That one is preferred that holds the shared part of the prompt.
 func (p *Picker) quickest(candidates []Candidate[*endpoint.State], request Request) int {
-	holder := p.holder(candidates, request.Prefix)
+	first, last := -1, -1
+	if request.Prefix != 0 {
+		first, last = agreed(candidates, request.Prefix), p.last(candidates, request.Prefix)
+	}
 	best := 0
 	var least float64
 	for index, candidate := range candidates {
 		cost := candidate.Cost()
-		if request.Prefix != 0 && (index == holder.first || index == holder.last) {
+		if index == first || index == last {
 			cost -= p.config.Engine.CacheWorth * float64(request.Shared) / p.config.Engine.TokensPerSecond
 		}
 		if index == 0 || cost < least {
@@ -61,27 +65,27 @@
 	return best
 }
 
-// holders are the indexes of the engines that are thought to hold a prefix: the
-// first by rendezvous, on which all routers agree, and the last that this one
-// chose, or -1.
-type holders struct {
-	first int
-	last  int
-}
-
-func (p *Picker) holder(candidates []Candidate[*endpoint.State], prefix uint64) holders {
-	found := holders{last: -1}
-	last, known := p.affinity.Get(prefix)
+// agreed returns the index of the first holder of a prefix by rendezvous, on which
+// all routers agree.
+func agreed(candidates []Candidate[*endpoint.State], prefix uint64) int {
+	first := 0
 	var rank uint64
 	for index, candidate := range candidates {
-		if known && candidate.Target == last {
-			found.last = index
-		}
 		if score := rendezvous(prefix, candidate.Target.VM.Name); index == 0 || score > rank {
-			found.first, rank = index, score
+			first, rank = index, score
 		}
 	}
-	return found
+	return first
+}
+
+// last returns the index of the endpoint that this router chose last for a prefix,
+// or -1.
+func (p *Picker) last(candidates []Candidate[*endpoint.State], prefix uint64) int {
+	chosen, known := p.affinity.Get(prefix)
+	if !known {
+		return -1
+	}
+	return slices.IndexFunc(candidates, func(c Candidate[*endpoint.State]) bool { return c.Target == chosen })
 }
 
 // rendezvous ranks an endpoint for a prefix, in the same way in every process.
--- a/fleet/request/choose/picker.go
+++ b/fleet/request/choose/picker.go
@@ -210,7 +210,7 @@
 	index := Cheapest(p.policy, candidates)
 	held := -1
 	if request.Prefix != 0 {
-		held = p.holder(candidates, request.Prefix).last
+		held = p.last(candidates, request.Prefix)
 	}
 	if held < 0 || candidates[held].Cost() > p.config.PrefixYield*candidates[index].Cost() {
 		return index
--- a/fleet/request/serve/serve.go
+++ b/fleet/request/serve/serve.go
@@ -134,7 +134,7 @@
 // Run serves the request. Its error is an *outcome.Error, or the sink's error
 // when the caller has gone.
 func (r *Runner) Run(ctx context.Context, job Job, sink Sink) error {
-	sink = &timed{Sink: sink, runner: r, started: r.Clock.Now()}
+	sink = &beginning{Sink: sink, begun: r.timeFirstByte()}
 	if !job.Plan.Idempotent && !job.Plan.EndsWithCaller {
 		// Work that may not be repeated goes on when its caller has gone.
 		ctx = context.WithoutCancel(ctx)
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -155,15 +155,17 @@
 // fleetChanged applies the view to whom the process trusts with copies and asks
 // for rights, and shows it to traffic.
 func (s *State) fleetChanged() {
-	members := s.view().Members()
+	self, members := s.view().Self(), s.view().Members()
+	size := running(members)
+	watching := watches(members, self, size)
 	s.Book.SetPeers(s.peers(members))
-	s.Book.SetBanking(banking(members, s.view().Self()))
-	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, running(members), FlushShare))
+	s.Book.SetBanking(banking(members, self, size, watching))
+	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, size, FlushShare))
 	s.Keeper.SetPeers(s.Clock.Now(), s.keepers(members))
 	s.journal()
-	s.resizeRetries(running(members))
+	s.resizeRetries(size)
 	s.Fleet.Store(&members)
-	s.Watches.Store(watches(members, s.view().Self()))
+	s.Watches.Store(watching)
 }
 
 // resizeRetries gives this process its part of the retries of the fleet.
@@ -197,8 +199,8 @@
 
 // watches reports whether the process is one of those that watch the store: all
 // of a small fleet, else the first ones of each availability zone.
-func watches(members []member.Member, self member.Member) bool {
-	if running(members) <= SmallFleet {
+func watches(members []member.Member, self member.Member, size int) bool {
+	if size <= SmallFleet {
 		return true
 	}
 	ahead := 0
@@ -212,12 +214,12 @@
 
 // banking returns who draws on the store for whom: those that watch the store draw
 // for their availability zone.
-func banking(members []member.Member, self member.Member) rights.Banking {
+func banking(members []member.Member, self member.Member, size int, watching bool) rights.Banking {
 	var found rights.Banking
-	if running(members) <= SmallFleet {
+	if size <= SmallFleet {
 		return found
 	}
-	found.Banks = watches(members, self)
+	found.Banks = watching
 	zones := make(map[vm.Place]int)
 	for _, peer := range members {
 		if peer.State != member.Live || zones[peer.Place] == ZoneWatchers {
