Send callers to the strong VMs of their zone, which alone draw on the store

Cause: on the grown sites 59 processes shared each budget. A process saw half a request a second of a team, so that credits stuck in small holdings, and the two bankers of a zone were any two, often the weakest.

Change: a process tells its VM's power; the strongest ones with a third of a zone's power lead, callers are sent to them, they watch the store and draw on it. A float can be a setting.

--- /dev/null
+++ b/fleet/process/member/leading.go
@@ -0,0 +1,42 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Bounds of the part of a place's processes that carries its work.
+const (
+	// MinLeading lets a caller turn to a second process when the first is lost.
+	MinLeading = 2
+	// LeadingShare is the part of a place's processing power that carries its
+	// work. The rest stands by: budgets and the load of endpoints are better known
+	// to few processes, and a process needs a tenth of its power at the usual load.
+	LeadingShare = 1.0 / 3
+)
+
+// Leading returns the processes that carry the work of their place, out of those
+// given: the strongest ones that have the leading share of the power together.
+// All processes with the same view agree on them.
+func Leading(members []Member) []Member {
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(b.Power, a.Power),
+			cmp.Compare(a.VM, b.VM),
+			cmp.Compare(a.Incarnation, b.Incarnation),
+		)
+	})
+	var whole float64
+	for _, each := range ranked {
+		whole += each.Power
+	}
+	var leading float64
+	for index, each := range ranked {
+		if index >= MinLeading && leading >= LeadingShare*whole {
+			return ranked[:index]
+		}
+		leading += each.Power
+	}
+	return ranked
+}
--- /dev/null
+++ b/fleet/process/member/leading_test.go
@@ -0,0 +1,42 @@
+package member_test
+
+import (
+	"slices"
+	"testing"
+
+	"jacinthpaddle.example/fleet/process/ident"
+	"jacinthpaddle.example/fleet/process/member"
+)
+
+func TestLeading(t *testing.T) {
+	tests := []struct {
+		name   string
+		powers []float64
+		want   []string
+	}{
+		{"nobody", nil, nil},
+		{"one", []float64{0.4}, []string{"a"}},
+		{"two of three equals", []float64{0.4, 0.4, 0.4}, []string{"a", "b"}},
+		{"a third of many equals", []float64{1, 1, 1, 1, 1, 1, 1, 1, 1}, []string{"a", "b", "c"}},
+		{"the strong ones", []float64{0.2, 0.8, 0.2, 0.8, 0.2, 0.2}, []string{"b", "d"}},
+		{"weak ones beside a lone strong one", []float64{0.2, 0.8, 0.2, 0.2}, []string{"b", "a"}},
+		{"power not told", []float64{0, 0, 0}, []string{"a", "b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var members []member.Member
+			for index, power := range test.powers {
+				name := string(rune('a' + index))
+				members = append(members, member.Member{VM: name, Incarnation: ident.Incarnation(name), Power: power})
+			}
+			slices.Reverse(members)
+			var got []string
+			for _, leading := range member.Leading(members) {
+				got = append(got, leading.VM)
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("leading: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/fleet/process/member/member.go
+++ b/fleet/process/member/member.go
@@ -51,7 +51,8 @@
 }
 
 // Member is the record of one process. Address is an IP number; the other
-// addresses are an IP number and a port.
+// addresses are an IP number and a port. Power is what the VM's processor can do,
+// in cores.
 type Member struct {
 	Incarnation      ident.Incarnation `json:"incarnation" cbor:"incarnation"`
 	VM               string            `json:"vm" cbor:"vm"`
@@ -60,6 +61,7 @@
 	CallerAddress    string            `json:"caller_address" cbor:"caller_address"`
 	OperatorsAddress string            `json:"operators_address" cbor:"operators_address"`
 	vm.Place
+	Power    float64   `json:"power" cbor:"power"`
 	State    State     `json:"state" cbor:"state"`
 	Started  time.Time `json:"started" cbor:"started"`
 	Sequence int64     `json:"sequence" cbor:"sequence"`
--- a/fleet/process/setting/setting.go
+++ b/fleet/process/setting/setting.go
@@ -16,6 +16,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"strconv"
 	"strings"
@@ -120,6 +121,12 @@
 			return fmt.Errorf("%q is not a whole number", text)
 		}
 		field.SetInt(number)
+	case reflect.Float64:
+		number, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(number) || math.IsInf(number, 0) {
+			return fmt.Errorf("%q is not a number", text)
+		}
+		field.SetFloat(number)
 	case reflect.Bool:
 		value, err := strconv.ParseBool(text)
 		if err != nil {
--- a/fleet/request/locate/near.go
+++ b/fleet/request/locate/near.go
@@ -11,8 +11,8 @@
 // MaxNear bounds the addresses of one answer.
 const MaxNear = 64
 
-// Near returns the callers' addresses of the routers nearest to the place: all
-// that take work in its availability zone, else in its region, else anywhere.
+// Near returns the callers' addresses of the routers nearest to the place: the
+// leading ones of its availability zone, else of its region, else anywhere.
 //
 // A process that has lost most of the others is more likely cut off itself, so
 // then those that it suspects count as well.
@@ -22,13 +22,13 @@
 	for _, router := range usable {
 		nearest = min(nearest, place.Distance(router.Place))
 	}
+	usable = slices.DeleteFunc(usable, func(router member.Member) bool {
+		return place.Distance(router.Place) != nearest
+	})
 	var addresses []string
-	for _, router := range usable {
-		if place.Distance(router.Place) == nearest {
-			addresses = append(addresses, router.CallerAddress)
-		}
+	for _, router := range member.Leading(usable) {
+		addresses = append(addresses, router.CallerAddress)
 	}
-	slices.Sort(addresses)
 	return addresses[:min(MaxNear, len(addresses))]
 }
 
--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -47,6 +47,8 @@
 	check.require(s.VM.Name != "", "vm", "name", "is missing")
 	check.require(s.VM.Region != "", "vm", "region", "is missing")
 	check.require(s.VM.AvailabilityZone != "", "vm", "availability_zone", "is missing")
+	check.require(s.VM.Cores > 0, "vm", "cores", "must be more than zero")
+	check.require(s.VM.CPUShare > 0, "vm", "cpu_share", "must be more than zero")
 	_, _, err = net.SplitHostPort(s.Platform.Address)
 	check.require(err == nil, "platform", "address", "must be host:port")
 	check.require(s.Fleet.EntryPool != "", "fleet", "entry_pool", "is missing")
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -157,9 +157,10 @@
 func (s *State) fleetChanged() {
 	self, members := s.view().Self(), s.view().Members()
 	size := running(members)
-	watching := watches(members, self, size)
+	ranks := leaders(members)
+	watching := watches(ranks, self, size)
 	s.Book.SetPeers(s.peers(members))
-	s.Book.SetBanking(banking(members, self, size, watching))
+	s.Book.SetBanking(banking(ranks, self, size))
 	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, size, FlushShare))
 	s.Keeper.SetPeers(s.Clock.Now(), s.keepers(members))
 	s.journal()
@@ -197,38 +198,51 @@
 	return s.Membership.View()
 }
 
+// leaders returns the live members that carry the work of each availability zone.
+func leaders(members []member.Member) map[vm.Place][]member.Member {
+	live := make(map[vm.Place][]member.Member)
+	for _, each := range members {
+		if each.State == member.Live {
+			live[each.Place] = append(live[each.Place], each)
+		}
+	}
+	for place, all := range live {
+		live[place] = member.Leading(all)
+	}
+	return live
+}
+
 // watches reports whether the process is one of those that watch the store: all
-// of a small fleet, else the first ones of each availability zone.
-func watches(members []member.Member, self member.Member, size int) bool {
+// of a small fleet, else the first leaders of each availability zone.
+func watches(leading map[vm.Place][]member.Member, self member.Member, size int) bool {
 	if size <= SmallFleet {
 		return true
 	}
-	ahead := 0
-	for _, peer := range members {
-		if peer.Place == self.Place && peer.State == member.Live && peer.Incarnation < self.Incarnation {
-			ahead++
-		}
-	}
-	return ahead < ZoneWatchers
+	zone := leading[self.Place]
+	return leads(zone[:min(ZoneWatchers, len(zone))], self)
+}
+
+func leads(leading []member.Member, self member.Member) bool {
+	return slices.ContainsFunc(leading, func(each member.Member) bool {
+		return each.Incarnation == self.Incarnation
+	})
 }
 
-// banking returns who draws on the store for whom: those that watch the store draw
-// for their availability zone.
-func banking(members []member.Member, self member.Member, size int, watching bool) rights.Banking {
+// banking returns who draws on the store for whom: those that callers are sent to
+// draw for themselves and for the others of their availability zone.
+func banking(leading map[vm.Place][]member.Member, self member.Member, size int) rights.Banking {
 	var found rights.Banking
 	if size <= SmallFleet {
 		return found
 	}
-	found.Banks = watching
-	zones := make(map[vm.Place]int)
-	for _, peer := range members {
-		if peer.State != member.Live || zones[peer.Place] == ZoneWatchers {
+	found.Banks = leads(leading[self.Place], self)
+	for place, zone := range leading {
+		found.All += len(zone)
+		if place != self.Place || found.Banks {
 			continue
 		}
-		zones[peer.Place]++
-		found.All++
-		if peer.Place == self.Place && !found.Banks {
-			found.Bankers = append(found.Bankers, peer.Incarnation)
+		for _, banker := range zone {
+			found.Bankers = append(found.Bankers, banker.Incarnation)
 		}
 	}
 	return found
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -28,12 +28,15 @@
 	Log      LogSettings      `ini:"log"`
 }
 
-// VMSettings say where the process runs. Address is an IP number.
+// VMSettings say where the process runs. Address is an IP number. CPUShare is the
+// part of each of the Cores that the VM may use.
 type VMSettings struct {
-	Name             string `ini:"name"`
-	Address          string `ini:"address"`
-	Region           string `ini:"region"`
-	AvailabilityZone string `ini:"availability_zone"`
+	Name             string  `ini:"name"`
+	Address          string  `ini:"address"`
+	Region           string  `ini:"region"`
+	AvailabilityZone string  `ini:"availability_zone"`
+	Cores            float64 `ini:"cores"`
+	CPUShare         float64 `ini:"cpu_share"`
 }
 
 // ListenSettings are the TCP ports on the VM's address. Callers, Ready and Locate
@@ -138,6 +141,7 @@
 // DefaultSettings returns the settings that a router starts from.
 func DefaultSettings() Settings {
 	return Settings{
+		VM:     VMSettings{Cores: 1, CPUShare: 1},
 		Listen: ListenSettings{CallerPort: 7070, PeerPort: 7071, OperatorsPort: 7072, MetricsPort: 7073},
 		Platform: PlatformSettings{
 			CallTimeout:  2 * time.Second,
