--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -281,16 +281,13 @@
 }
 
 // chargeOf returns what a failed request costs: nothing if it was not run, the
-// prompt of a stream and what was passed on of it, the whole price of other work
-// that may not be repeated if that may have been done, and what was passed on
-// otherwise.
+// whole price of work that may not be repeated if that may have been done, and what
+// was passed on of a stream or of other work.
 func chargeOf(plan admit.Plan, run journal.Run, passed int64) int64 {
 	switch {
 	case run == journal.NotRun:
 		return 0
-	case plan.Streamed:
-		return max(plan.Floor, passed)
-	case !plan.Idempotent:
+	case !plan.Idempotent && !plan.Streamed:
 		return plan.Reserve
 	default:
 		return passed
--- a/fleet/request/serve/events.go
+++ b/fleet/request/serve/events.go
@@ -61,8 +61,12 @@
 	return done
 }
 
-// charge returns the cost of the prompt and of the events passed on.
+// charge returns the cost of the prompt and of the events passed on. A stream that
+// did not begin costs nothing.
 func (e *Events) charge(plan admit.Plan) int64 {
+	if !e.begun {
+		return 0
+	}
 	return min(plan.Reserve, plan.Floor+e.count*plan.TokensPerEvent)
 }
 
--- a/fleet/request/serve/events_test.go
+++ b/fleet/request/serve/events_test.go
@@ -130,6 +130,11 @@
 	if got, want := len(script.asked), 2; got != want {
 		t.Errorf("attempts: got %d, want %d", got, want)
 	}
+	// The prompts of streams that never began used up a sixth of some budgets on
+	// kowhai-remind trouble-2, and all that came later was refused.
+	if got, want := made.bill(t).Charge, int64(0); got != want {
+		t.Errorf("charge without an event: got %d, want %d", got, want)
+	}
 }
 
 // An endpoint's own failure reaches the caller as it is once no attempt is left.
