Bill what a broken stream passed on, whatever its later attempts came to

Ruled out: rights spent twice (what was settled stayed within what was granted).

Change: charges and what was passed on carry over from attempt to attempt. The test failed before (charge 0, want 18).

--- a/fleet/process/rights/property_test.go
+++ b/fleet/process/rights/property_test.go
@@ -24,7 +24,7 @@
 	},
 	"spread": rights.DemandSpread{Horizon: 10 * time.Second, Share: 0.5, Holders: 1, Refill: 0.75},
 	"banked": rights.DemandSpread{Horizon: 8 * time.Second, Share: 1, Holders: 1, Refill: 0.75},
-	"split": rights.EvenSplit{Holders: 4},
+	"split":  rights.EvenSplit{Holders: 4},
 }
 
 // machine draws the steps that the property tests interleave.
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -84,8 +84,11 @@
 	}
 }
 
-// again notes a failed attempt and reports whether another may follow.
+// again notes a failed attempt and reports whether another may follow. What earlier
+// attempts passed on stays passed on, and billed.
 func (r *Runner) again(ctx context.Context, trial *trial, done Relayed, failure failure) bool {
+	done.Charge = max(done.Charge, trial.last.Charge)
+	done.Passed = done.Passed || trial.last.Passed
 	trial.last = done
 	if done.Failure != nil {
 		trial.failure = done.Failure
--- a/fleet/request/serve/events_test.go
+++ b/fleet/request/serve/events_test.go
@@ -137,6 +137,22 @@
 	}
 }
 
+// A stream that began and could not go on was billed by the last attempt, which may
+// not even have connected: a team got 22,855 tokens beyond its budget
+// (kowhai-remind-grown trouble-1).
+func TestBrokenStreamIsBilledWhateverFollowed(t *testing.T) {
+	made, _ := newEventRig(t,
+		scripted{http.StatusOK, numbered(1) + numbered(2), false},
+		scripted{http.StatusServiceUnavailable, "full", true},
+	)
+	if err := made.run(&serve.Events{MaxBytes: 1 << 20}); err == nil {
+		t.Error("run: got no error, want one")
+	}
+	if got, want := made.bill(t).Charge, int64(10+2*4); got != want {
+		t.Errorf("charge: got %d, want %d", got, want)
+	}
+}
+
 // An endpoint's own failure reaches the caller as it is once no attempt is left.
 func TestFailureIsPassedOn(t *testing.T) {
 	failure := scripted{http.StatusInternalServerError, "broken", true}
