Pass the list of VMs on between peers, hold few budgets before their first use

In its first seconds and after a restart each process drew for the first request of each team, and lost 12 updates to others for one that it won. A fifth of the callers stay with a weak machine that nobody sent them to, and which kept nothing in store. Ruled out: answers of /resolve, which named the strong ones all along.

Up to 64 budgets are held from the start by those that draw; refills are spaced by how many draw; a holding whose demand is steady is drawn for by its holder, not by a banker.

--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -11,6 +11,7 @@
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/rights"
+	"jacinthpaddle.example/fleet/process/vm"
 )
 
 // Message is the envelope of everything that routers tell each other. Exactly
@@ -30,6 +31,7 @@
 	Gossip    *member.Gossip `cbor:"gossip,omitempty" droppable:"true"`
 
 	Generation *Generation `cbor:"generation,omitempty"`
+	List       *List       `cbor:"list,omitempty"`
 
 	Transfer *rights.Transfer `cbor:"transfer,omitempty"`
 	Receipt  *rights.Receipt  `cbor:"receipt,omitempty"`
@@ -52,6 +54,14 @@
 	Content []byte `cbor:"content,omitempty"`
 }
 
+// List carries what changed in the platform's list of VMs, or asks for all of it if
+// it is Wanted. Back says that the platform was away before.
+type List struct {
+	vm.Delta
+	Back   bool `cbor:"back,omitempty"`
+	Wanted bool `cbor:"wanted,omitempty"`
+}
+
 // Hello opens a link: the sender's own record and the digest of its view.
 type Hello struct {
 	Member member.Member `cbor:"member"`
--- a/fleet/process/platform/objectapi/objectapi.go
+++ b/fleet/process/platform/objectapi/objectapi.go
@@ -120,7 +120,7 @@
 		writeError(w, err)
 		return
 	}
-	encoded, err := json.Marshal(list)
+	encoded, err := json.Marshal(list.VMs)
 	if err != nil {
 		writeError(w, err)
 		return
--- a/fleet/process/platform/platform.go
+++ b/fleet/process/platform/platform.go
@@ -197,7 +197,7 @@
 
 // VMs implements vm.Lister. An unchanged list is not sent again by a platform
 // that gives entity tags.
-func (c *Client) VMs(ctx context.Context) ([]vm.VM, error) {
+func (c *Client) VMs(ctx context.Context) (vm.List, error) {
 	request := c.read("list", "vms", vmsPath)
 	held := c.list.Load()
 	if held != nil {
@@ -205,19 +205,19 @@
 	}
 	reply, err := c.do(ctx, request)
 	if err != nil {
-		return nil, err
+		return vm.List{}, err
 	}
 	if reply.status == http.StatusNotModified {
-		return slices.Clone(held.vms), nil
+		return vm.List{VMs: slices.Clone(held.vms)}, nil
 	}
 	var list []vm.VM
 	if err := json.Unmarshal(reply.body, &list); err != nil {
-		return nil, reply.unusable(err)
+		return vm.List{}, reply.unusable(err)
 	}
 	if reply.tag != "" {
 		c.list.Store(&taggedList{tag: reply.tag, vms: slices.Clone(list)})
 	}
-	return list, nil
+	return vm.List{VMs: list}, nil
 }
 
 func quote(version store.Version) string {
--- a/fleet/process/platform/platform_test.go
+++ b/fleet/process/platform/platform_test.go
@@ -142,8 +142,8 @@
 // machines is a list of VMs that a test changes.
 type machines struct{ list []vm.VM }
 
-func (m *machines) VMs(context.Context) ([]vm.VM, error) {
-	return m.list, nil
+func (m *machines) VMs(context.Context) (vm.List, error) {
+	return vm.List{VMs: m.list}, nil
 }
 
 // TestUnchangedListIsNotSentAgain reads the list three times, with one change.
@@ -162,7 +162,7 @@
 	for _, state := range []vm.State{vm.Live, vm.Live, vm.Leaving} {
 		listed.list = []vm.VM{{Name: "entry-1", State: state}}
 		got, err := client.VMs(t.Context())
-		if err != nil || len(got) != 1 || got[0] != listed.list[0] {
+		if err != nil || len(got.VMs) != 1 || got.VMs[0] != listed.list[0] {
 			t.Errorf("list: got %+v and %v, want %+v", got, err, listed.list)
 		}
 	}
--- a/fleet/process/rights/banker_test.go
+++ b/fleet/process/rights/banker_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// A fifth of the callers stay with a weak machine that nobody sent them to. It kept
+// nothing in store, and refused them for as long as a partition lasted
+// (kmfta-ale-grown quiet-1).
+func TestSteadyHoldersDrawThemselves(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := refilling(now)
+	book.SetPeers([]ident.Incarnation{"bank"})
+	book.SetBanking(rights.Banking{Bankers: []ident.Incarnation{"bank"}, All: 1})
+	orders := book.Want(budget, 200, now)
+	if len(orders.Draws) != 1 || len(orders.Pulls) != 0 {
+		t.Errorf("orders of a request: got %d draws and %d pulls, want one draw", len(orders.Draws), len(orders.Pulls))
+	}
+	book.Stored(budget, account.View{Found: true, Record: account.Holder{Granted: 200}, Remaining: 9_000}, now)
+	book.Want(budget, 0, now)
+	if orders := book.Tick(now); len(orders.Draws) != 1 {
+		t.Errorf("draws without a request: got %d, want 1", len(orders.Draws))
+	}
+}
+
 // The demand of those who refill at a banker is its own.
 func TestBankersHoldForOthers(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/fleet/process/rights/book.go
+++ b/fleet/process/rights/book.go
@@ -124,6 +124,7 @@
 	if holding.Round.Need == 0 {
 		holding.Round.Since = now
 		holding.Searches++
+		holding.sized(need)
 		holding.Round.Asked = make(map[ident.Incarnation]time.Time)
 		holding.Round.Answered = make(map[ident.Incarnation]bool)
 	}
--- a/fleet/process/rights/holding.go
+++ b/fleet/process/rights/holding.go
@@ -26,6 +26,12 @@
 	Sent      time.Time `json:"sent"`
 }
 
+// SteadyTime is the time in which a steady holding spends MinNeeds requests.
+const SteadyTime = 10 * time.Second
+
+// SizeWeight is the weight of the latest request in the average of sizes.
+const SizeWeight = 0.2
+
 // Round is one search for credits that requests wait for. Need is their sum.
 type Round struct {
 	Need       int64                           `json:"need"`
@@ -45,7 +51,7 @@
 // Drawing says that the store is being asked, and Unsure that it did not answer
 // and may have granted credits. Away says that it gave no answer when it was
 // last asked. OtherDemand is that of the other holders by the account, in credits a
-// second. Refunded is what the holder gave back while it goes on, and
+// second, and Size an average of what requests had to wait for. Refunded is what the holder gave back while it goes on, and
 // RefundSeen how much of that the store is known to have.
 type Holding struct {
 	Budget      string                         `json:"budget"`
@@ -72,6 +78,7 @@
 	DryRounds   int                            `json:"dry_rounds"`
 	Failures    int                            `json:"failures"`
 	Refused     int64                          `json:"refused"`
+	Size        float64                        `json:"size"`
 	Demand      Demand                         `json:"demand"`
 	Round       Round                          `json:"round"`
 	Others      []ident.Incarnation            `json:"others"`
@@ -167,6 +174,19 @@
 	})
 }
 
+// steady reports whether the demand here is worth holding credits for.
+func (h *Holding) steady() bool {
+	return h.Size > 0 && h.Demand.Rate*SteadyTime.Seconds() >= MinNeeds*h.Size
+}
+
+// sized notes how much a request has to wait for.
+func (h *Holding) sized(need int64) {
+	if h.Size == 0 {
+		h.Size = float64(need)
+	}
+	h.Size += SizeWeight * (float64(need) - h.Size)
+}
+
 // latest returns the guard set proposed last.
 func (h *Holding) latest() GuardSet {
 	return h.Sets[len(h.Sets)-1]
--- a/fleet/process/rights/shortage.go
+++ b/fleet/process/rights/shortage.go
@@ -22,7 +22,7 @@
 	if holding.Held() >= round.Need && now.Sub(round.Since) < PullTimeout {
 		return orders
 	}
-	if bank, ok := b.banker(); ok && !round.StoreAsked {
+	if bank, ok := b.bankerOf(holding); ok && !round.StoreAsked {
 		orders.Add(b.ask(holding, bank, round.Need-holding.Purse.Level().Available, now))
 		if round.unanswered([]ident.Incarnation{bank}, now) {
 			return orders
@@ -98,9 +98,17 @@
 	}}}
 }
 
-// banker returns the peer from which this holder refills. Holders of one zone are
+// bankerOf returns the peer from which one holding is refilled, if it is not steady.
+func (b *Book[S]) bankerOf(holding *Holding) (ident.Incarnation, bool) {
+	if holding.steady() {
+		return "", false
+	}
+	return b.Banker()
+}
+
+// Banker returns the peer from which this holder refills. Holders of one zone are
 // spread over its bankers.
-func (b *Book[S]) banker() (ident.Incarnation, bool) {
+func (b *Book[S]) Banker() (ident.Incarnation, bool) {
 	var reached []ident.Incarnation
 	for _, peer := range b.Banking.Bankers {
 		if slices.Contains(b.Peers, peer) {
@@ -114,11 +122,11 @@
 }
 
 // refill brings what is held up to what the sizing policy wants. A holder with a
-// banker keeps nothing in store: in a large fleet its own demand is less than one
-// request, and what all of them kept would be missing elsewhere. It turns to the
-// store only to learn what became of an earlier draw.
+// banker keeps nothing in store while its own demand is a request now and then: what
+// all of them kept would be missing elsewhere. It turns to the store only to learn
+// what became of an earlier draw.
 func (b *Book[S]) refill(holding *Holding, now time.Time) Orders {
-	if _, ok := b.banker(); ok && !holding.Unsure {
+	if _, ok := b.bankerOf(holding); ok && !holding.Unsure {
 		return Orders{}
 	}
 	return b.draw(holding, now)
@@ -198,7 +206,7 @@
 	if holding.Drawing || holding.Shut || !holding.Opened || now.Before(holding.RetryAt) {
 		return Orders{}
 	}
-	if _, banked := b.banker(); !banked && !holding.Away {
+	if _, banked := b.bankerOf(holding); !banked && !holding.Away {
 		surplus := b.Sizer.Surplus(b.situation(holding))
 		holding.Refunded += holding.Purse.Take(surplus)
 	}
--- a/fleet/process/store/contract_test.go
+++ b/fleet/process/store/contract_test.go
@@ -29,7 +29,7 @@
 // noVMs is an empty list of VMs.
 type noVMs struct{}
 
-func (noVMs) VMs(context.Context) ([]vm.VM, error) { return []vm.VM{}, nil }
+func (noVMs) VMs(context.Context) (vm.List, error) { return vm.List{VMs: []vm.VM{}}, nil }
 
 func newMemory(*testing.T) fixture {
 	clk := clock.NewFake()
--- /dev/null
+++ b/fleet/process/vm/list_test.go
@@ -0,0 +1,70 @@
+package vm_test
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+
+	"jacinthpaddle.example/fleet/process/vm"
+)
+
+func listOf(version int64, names ...string) vm.List {
+	list := vm.List{Version: version}
+	for _, name := range names {
+		list.VMs = append(list.VMs, vm.VM{Name: name, State: vm.Live})
+	}
+	return list
+}
+
+func names(list vm.List) []string {
+	var found []string
+	for _, machine := range list.VMs {
+		found = append(found, machine.Name+" "+string(machine.State))
+	}
+	slices.Sort(found)
+	return found
+}
+
+func TestDeltaLeadsToTheLaterList(t *testing.T) {
+	before := listOf(5, "a", "b", "c")
+	after := listOf(9, "a", "c", "d")
+	after.VMs[1].State = vm.Leaving
+	tests := []struct {
+		name string
+		held vm.List
+		ok   bool
+	}{
+		{"from its base", before, true},
+		{"from between", vm.List{Version: 7, VMs: after.VMs[:2]}, true},
+		{"from before its base", listOf(4, "a"), false},
+		{"from a later version", listOf(9, "z"), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, ok := test.held.Apply(vm.Changes(before, after))
+			if ok != test.ok {
+				t.Fatalf("applied: got %t, want %t", ok, test.ok)
+			}
+			want := after
+			if !test.ok {
+				want = test.held
+			}
+			if !slices.Equal(names(got), names(want)) || got.Version != want.Version {
+				t.Errorf("list: got %v at %d, want %v at %d", names(got), got.Version, names(want), want.Version)
+			}
+		})
+	}
+}
+
+func TestChangesNameOnlyWhatChanged(t *testing.T) {
+	before, after := listOf(5, "a", "b"), listOf(6, "b", "a")
+	delta := vm.Changes(before, after)
+	if len(delta.Changed)+len(delta.Gone) != 0 {
+		t.Errorf("changes of the same list: got %+v, want none", delta)
+	}
+	whole := vm.Changes(vm.List{}, after)
+	slices.SortFunc(whole.Changed, func(a, b vm.VM) int { return cmp.Compare(a.Name, b.Name) })
+	if len(whole.Changed) != 2 || whole.Base != 0 {
+		t.Errorf("changes from nothing: got %+v, want the whole list", whole)
+	}
+}
--- a/fleet/process/vm/vm.go
+++ b/fleet/process/vm/vm.go
@@ -3,7 +3,9 @@
 // # Usage
 //
 //	list, err := lister.VMs(ctx)
-//	entries := vm.InPool(list, "entry")
+//	entries := vm.InPool(list.VMs, "entry")
+//	delta := vm.Changes(earlier, list) // for those that hold the earlier one
+//	list, news := earlier.Apply(delta)
 package vm
 
 import "context"
@@ -36,7 +38,7 @@
 
 // Lister reads the platform's list, which lags behind the truth.
 type Lister interface {
-	VMs(ctx context.Context) ([]VM, error)
+	VMs(ctx context.Context) (List, error)
 }
 
 // InPool returns the VMs of one pool, in the order of the list.
--- a/jacinth/request/command/command.go
+++ b/jacinth/request/command/command.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return vm.InPool(list, s.arguments.EntryPool), nil
+	return vm.InPool(list.VMs, s.arguments.EntryPool), nil
 }
 
 // entry returns the VM of that name that runs a router.
--- a/jacinth/request/command/command_test.go
+++ b/jacinth/request/command/command_test.go
@@ -33,8 +33,8 @@
 	drained  bool
 }
 
-func (f *fleet) VMs(context.Context) ([]vm.VM, error) {
-	return f.machines, nil
+func (f *fleet) VMs(context.Context) (vm.List, error) {
+	return vm.List{VMs: f.machines}, nil
 }
 
 func newFleet(t *testing.T) *fleet {
--- a/router/process/node/drain_test.go
+++ b/router/process/node/drain_test.go
@@ -23,7 +23,7 @@
 // memoryPlatform is a platform in memory, whose list is empty.
 type memoryPlatform struct{ store.Store }
 
-func (memoryPlatform) VMs(context.Context) ([]vm.VM, error) { return nil, nil }
+func (memoryPlatform) VMs(context.Context) (vm.List, error) { return vm.List{}, nil }
 func (memoryPlatform) Close()                               {}
 
 // slowAdapter serves requests that end when they are let.
--- /dev/null
+++ b/router/process/node/list.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"jacinthpaddle.example/fleet/connection/peer"
+	"jacinthpaddle.example/fleet/process/ident"
+	"jacinthpaddle.example/fleet/process/vm"
+)
+
+// ListSlack is how much longer than a watch and its margin a process waits for the
+// list from a peer before it reads the list itself.
+const ListSlack = 300 * time.Millisecond
+
+// Listed is the platform's list of VMs, read by this process. Back says that the
+// platform was away before.
+type Listed struct {
+	List vm.List
+	Back bool
+}
+
+// Apply implements control.Message. A reading that is older than what a peer sent
+// meanwhile changes nothing.
+func (m Listed) Apply(state *State) {
+	if m.List.Version < state.list.Version {
+		return
+	}
+	state.take(m.List, m.Back)
+}
+
+// take applies a list and passes it on.
+func (s *State) take(list vm.List, back bool) {
+	before := s.list
+	if back {
+		s.lapsed = vm.Missing(list.VMs, before.VMs)
+		s.lapsedUntil = s.Clock.Now().Add(s.Settings.Platform.ReturnGrace)
+	}
+	s.list = list
+	entries := vm.InPool(list.VMs, s.Settings.Fleet.EntryPool)
+	s.Membership.SetPlatform(entries, s.Settings.peerAddress)
+	s.endpointsChanged()
+	s.fleetChanged()
+	s.passList(peer.List{Delta: vm.Changes(before, list), Back: back})
+	if back {
+		s.Book.StoreBack()
+		s.order(s.Book.Tick(s.Clock.Now()))
+		s.serveAll()
+	}
+}
+
+// passList tells the neighbours of the availability zone what changed. In a large
+// fleet most of them do not read the list themselves, and a list without changes
+// tells them that theirs is fresh.
+func (s *State) passList(list peer.List) {
+	if list.Version == 0 || running(s.view().Members()) <= SmallFleet {
+		return
+	}
+	for to := range s.Linked {
+		neighbour, known := s.view().Member(to)
+		if known && neighbour.Place == s.view().Self().Place {
+			s.send(to, peer.Message{List: &list})
+		}
+	}
+}
+
+// peerList takes a peer's word on the list. Where changes before it are missing,
+// the whole list is asked for.
+func (s *State) peerList(from ident.Incarnation, message peer.List) {
+	if message.Wanted {
+		whole := peer.List{Delta: vm.Changes(vm.List{}, s.list)}
+		s.send(from, peer.Message{List: &whole})
+		return
+	}
+	list, news := s.list.Apply(message.Delta)
+	switch {
+	case news:
+		now := s.Clock.Now()
+		s.ListHeard.Store(&now)
+		s.take(list, message.Back)
+	case message.Base > s.list.Version:
+		s.send(from, peer.Message{List: &peer.List{Wanted: true}})
+	}
+}
+
+// endpointsChanged rebuilds the endpoints from the list. VMs that were missing when
+// the platform came back stay in use for a grace, since their entries can have
+// lapsed meanwhile. One that leaves the list later is gone at once.
+func (s *State) endpointsChanged() {
+	list := append(slices.Clone(s.list.VMs), vm.Missing(s.list.VMs, s.lapsed)...)
+	s.Endpoints.Update(list, s.Generation.Set.Pools)
+}
+
+// dropLapsed ends the grace of VMs that did not come back.
+func (s *State) dropLapsed(now time.Time) {
+	if len(s.lapsed) > 0 && !now.Before(s.lapsedUntil) {
+		s.lapsed = nil
+		s.endpointsChanged()
+	}
+}
--- /dev/null
+++ b/router/process/node/list_test.go
@@ -0,0 +1,115 @@
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"jacinthpaddle.example/fleet/connection/peer"
+	"jacinthpaddle.example/fleet/process/clock"
+	"jacinthpaddle.example/fleet/process/event"
+	"jacinthpaddle.example/fleet/process/ident"
+	"jacinthpaddle.example/fleet/process/member"
+	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/fleet/version/declare"
+	"jacinthpaddle.example/router/process/node"
+)
+
+// relaying is the control state of a process with linked peers in two availability
+// zones, too many for each to watch the store.
+type relaying struct {
+	*node.State
+	out *silent
+}
+
+func inLargeFleet() relaying {
+	self := member.Member{Incarnation: "self", VM: "vm-0", State: member.Live, Sequence: 1}
+	out := &silent{}
+	state := node.NewState(self, node.DefaultSettings(), nil, clock.NewFake(), event.NewLog(io.Discard, logrus.ErrorLevel), out)
+	state.Generation.Set.Pools = []declare.Pool{{Name: "engines", Kind: declare.EndpointPool, Port: 80}}
+	for index := range 2 * node.SmallFleet {
+		peered := member.Member{
+			Incarnation: ident.Incarnation(fmt.Sprint("n", index)), VM: fmt.Sprint("vm-n", index),
+			State: member.Live, Sequence: 1,
+		}
+		if index%2 == 1 {
+			peered.AvailabilityZone = "another"
+		}
+		node.LinkUp{Remote: peered.Incarnation, Hello: peer.Hello{Member: peered}}.Apply(state)
+	}
+	out.sent = nil
+	return relaying{State: state, out: out}
+}
+
+// said returns the messages on the list since the last call.
+func (r relaying) said() []peer.Message {
+	var found []peer.Message
+	for _, message := range r.out.sent {
+		if message.List != nil {
+			found = append(found, message)
+		}
+	}
+	r.out.sent = nil
+	return found
+}
+
+func (r relaying) endpoints() string {
+	var names []string
+	for _, endpoint := range r.Endpoints.View().Members("engines") {
+		names = append(names, endpoint.VM.Name)
+	}
+	slices.Sort(names)
+	return fmt.Sprint(names)
+}
+
+func engine(name string) vm.VM {
+	return vm.VM{Name: name, Address: name, Pool: "engines", State: vm.Live}
+}
+
+// 59 processes that each watched the entries of runners made 3,200 calls a day.
+func TestListPassesThroughTheAvailabilityZone(t *testing.T) {
+	made := inLargeFleet()
+	node.Listed{List: vm.List{Version: 7, VMs: []vm.VM{engine("a"), engine("b")}}}.Apply(made.State)
+	if got, want := len(made.said()), node.SmallFleet; got != want {
+		t.Errorf("messages: got %d, want one to each of the %d in the zone", got, want)
+	}
+	news := peer.List{Delta: vm.Delta{Base: 7, Version: 9, Gone: []string{"a"}, Changed: []vm.VM{engine("c")}}}
+	node.Received{Message: peer.Message{From: "n0", List: &news}}.Apply(made.State)
+	if got := made.endpoints(); got != "[b c]" {
+		t.Errorf("endpoints: got %s, want [b c]", got)
+	}
+	if got := made.ListHeard.Load(); got == nil {
+		t.Error("heard: got never, want now")
+	}
+	if got, want := len(made.said()), node.SmallFleet; got != want {
+		t.Errorf("messages on news: got %d, want %d", got, want)
+	}
+	node.Received{Message: peer.Message{From: "n2", List: &news}}.Apply(made.State)
+	if got := len(made.said()); got != 0 {
+		t.Errorf("messages on what is known: got %d, want none", got)
+	}
+	node.Listed{List: vm.List{Version: 8, VMs: []vm.VM{engine("a"), engine("b")}}}.Apply(made.State)
+	if got := made.endpoints(); got != "[b c]" {
+		t.Errorf("endpoints after an older reading: got %s, want [b c]", got)
+	}
+}
+
+func TestMissingChangesAreAskedFor(t *testing.T) {
+	made := inLargeFleet()
+	later := peer.List{Delta: vm.Delta{Base: 5, Version: 6, Changed: []vm.VM{engine("b")}}}
+	node.Received{Message: peer.Message{From: "n0", List: &later}}.Apply(made.State)
+	asked := made.said()
+	if len(asked) != 1 || asked[0].To != "n0" || !asked[0].List.Wanted {
+		t.Fatalf("messages: got %+v, want one that asks for the list", asked)
+	}
+	node.Listed{List: vm.List{Version: 8, VMs: []vm.VM{engine("a"), engine("b")}}}.Apply(made.State)
+	made.out.sent = nil
+	node.Received{Message: peer.Message{From: "n0", List: &peer.List{Wanted: true}}}.Apply(made.State)
+	answers := made.said()
+	if len(answers) != 1 || answers[0].List.Base != 0 || len(answers[0].List.Changed) != 2 {
+		t.Errorf("answers: got %+v, want the whole list", answers)
+	}
+}
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -39,6 +39,9 @@
 	TickInterval = 100 * time.Millisecond
 	// BookInterval is how often demand is estimated and rights are refilled.
 	BookInterval = time.Second
+	// EarlyDelay is how long a process gets to know the fleet before it holds budgets
+	// that nobody asked for.
+	EarlyDelay = 2 * time.Second
 	// WatchRetry is the pause after a failed watch.
 	WatchRetry = time.Second
 	// OfferRetry is how long a peer has to send a generation before another is asked.
@@ -56,11 +59,16 @@
 
 // Bounds that keep a large fleet within the platform's rates.
 const (
+	// EarlyBudgets is up to how many budgets a process holds before their first use.
+	EarlyBudgets = 64
 	// SmallFleet is the size up to which every process watches the store.
 	SmallFleet = 12
 	// ZoneWatchers is how many processes of an availability zone watch the store
 	// in a larger fleet.
 	ZoneWatchers = 2
+	// DrawShare is by how many drawing processes the interval between refills grows
+	// by its own length.
+	DrawShare = 12
 	// ListShare is by how many members the list interval grows by its own length.
 	ListShare = 64
 	// FlushShare is by how many members the journal's interval grows by its own
@@ -245,7 +253,10 @@
 		thread:   n.thread,
 		log:      n.Log,
 		interval: n.Settings.Platform.ListInterval,
+		silence:  n.Settings.Platform.WatchWait + n.Settings.Platform.WatchMargin + ListSlack,
 		members:  n.state.Fleet,
+		watches:  n.state.Watches,
+		heard:    n.state.ListHeard,
 	}
 	pointer := &watcher{
 		clock:   n.Clock,
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -99,6 +99,8 @@
 		}
 	case m.Message.Generation != nil:
 		state.generation(from, *m.Message.Generation)
+	case m.Message.List != nil:
+		state.peerList(from, *m.Message.List)
 	default:
 		if !m.journal(state, from) {
 			m.rights(state, now)
@@ -160,7 +162,7 @@
 	ranks := leaders(members)
 	watching := watches(ranks, self, size)
 	s.Book.SetPeers(s.peers(members))
-	s.Book.SetBanking(banking(ranks, self, size))
+	s.Book.SetBanking(s.banking(ranks, self, size))
 	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, size, FlushShare))
 	s.Keeper.SetPeers(s.Clock.Now(), s.keepers(members))
 	s.journal()
@@ -229,12 +231,16 @@
 }
 
 // banking returns who draws on the store for whom: those that callers are sent to
-// draw for themselves and for the others of their availability zone.
-func banking(leading map[vm.Place][]member.Member, self member.Member, size int) rights.Banking {
+// draw for themselves and for the others of their availability zone. A process that
+// knows few of the others yet expects all of them to draw.
+func (s *State) banking(leading map[vm.Place][]member.Member, self member.Member, size int) rights.Banking {
 	var found rights.Banking
 	for _, zone := range leading {
 		found.All += len(zone)
 	}
+	if entries := len(vm.InPool(s.list.VMs, s.Settings.Fleet.EntryPool)); size < entries/2 {
+		found.All = entries
+	}
 	if size <= SmallFleet {
 		return found
 	}
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -94,24 +94,36 @@
 }
 
 // lister reads the platform's list of VMs, the more seldom the larger the fleet,
-// so that all routers together stay within the platform's rates.
+// so that all routers together stay within the platform's rates. A process that does
+// not watch the store reads it only while no peer sends the list.
 type lister struct {
 	clock    clock.Clock
 	vms      vm.Lister
 	thread   *Thread
 	log      *event.Log
 	interval time.Duration
+	silence  time.Duration
 	members  *atomic.Pointer[[]member.Member]
+	watches  *atomic.Bool
+	heard    *atomic.Pointer[time.Time]
 	down     bool
 }
 
 func (l *lister) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		l.poll(ctx)
+		if !l.relayed() {
+			l.poll(ctx)
+		}
 		sleep(ctx, l.clock, l.pause())
 	}
 }
 
+// relayed reports whether peers keep this process's list fresh.
+func (l *lister) relayed() bool {
+	heard := l.heard.Load()
+	return !l.watches.Load() && heard != nil && l.clock.Since(*heard) < l.silence
+}
+
 func (l *lister) pause() time.Duration {
 	members := l.members.Load()
 	if members == nil {
--- a/router/process/node/rights.go
+++ b/router/process/node/rights.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"jacinthpaddle.example/fleet/process/account"
 	"jacinthpaddle.example/fleet/process/event"
@@ -39,6 +40,32 @@
 	return purse, <-answer
 }
 
+// refill lets the book look after its holdings, the more seldom the more processes
+// draw on the store.
+func (s *State) refill(now time.Time) {
+	if now.Sub(s.refilled) < spaced(BookInterval, s.Book.Banking.All, DrawShare) {
+		return
+	}
+	s.refilled = now
+	s.holdEarly(now)
+	s.order(s.Book.Tick(now))
+	s.serveAll()
+}
+
+// holdEarly has a process that callers are sent to hold every budget before its
+// first request, if they are few and nobody guards them: in a partition that comes
+// first it could draw nothing.
+func (s *State) holdEarly(now time.Time) {
+	_, banked := s.Book.Banker()
+	budgets := s.Generation.Set.Budgets
+	if s.Book.Sizer.Guarded() || banked || len(budgets) > EarlyBudgets || now.Sub(s.Started) < EarlyDelay {
+		return
+	}
+	for _, budget := range budgets {
+		s.hold(budget.Name)
+	}
+}
+
 // hold makes sure that the process holds the budget, at first without rights. A
 // process holds only the budgets that its callers or peers ask of it.
 func (s *State) hold(budget string) {
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -105,15 +105,18 @@
 
 	// Fleet is the view for traffic to read.
 	Fleet *atomic.Pointer[[]member.Member]
-	// Watches tells whether the process watches the store for generations.
+	// Watches tells whether the process watches the store for generations and the
+	// list of VMs.
 	Watches *atomic.Bool
+	// ListHeard is when a peer last sent news of the list.
+	ListHeard *atomic.Pointer[time.Time]
 	// Retries is sized by the control thread and drawn on by traffic.
 	Retries *retry.Budgets
 	// Endpoints is changed by the control thread and read by traffic.
 	Endpoints      *endpoint.Table
 	EndpointConfig endpoint.Config
 
-	list        []vm.VM
+	list        vm.List
 	lapsed      []vm.VM
 	lapsedUntil time.Time
 	pages       map[string]*pageState
@@ -124,6 +127,7 @@
 	signs       map[string]endpointSigns
 	offers      offers
 	ticked      time.Time
+	refilled    time.Time
 	ousted      bool
 }
 
@@ -174,6 +178,7 @@
 		Membership:     membership.New(self, outside, now),
 		Linked:         make(map[ident.Incarnation]bool),
 		Watches:        &atomic.Bool{},
+		ListHeard:      &atomic.Pointer[time.Time]{},
 		Fleet:          &atomic.Pointer[[]member.Member]{},
 		Retries:        retry.NewBudgets(retry.BudgetDefaults(), clk),
 		Endpoints:      endpoint.NewTable(endpoints, clk),
@@ -210,8 +215,7 @@
 	}
 	state.ticked = now
 	state.askOffered()
-	state.order(state.Book.Tick(now))
-	state.serveAll()
+	state.refill(now)
 	state.Membership.Tick(now)
 	state.fleetChanged()
 	state.recover()
--- a/router/process/node/state_bench_test.go
+++ b/router/process/node/state_bench_test.go
@@ -63,7 +63,7 @@
 			out := &silent{}
 			state := node.NewState(members[0], node.DefaultSettings(), nil, fake, log, out)
 			state.Ousted = func() {}
-			node.Listed{List: list}.Apply(state)
+			node.Listed{List: vm.List{VMs: list}}.Apply(state)
 			join(state, members)
 			for budget := range heldBudgets {
 				state.Book.SetPurchased(fmt.Sprint("budget-", budget), 0)
--- a/router/process/node/version.go
+++ b/router/process/node/version.go
@@ -7,7 +7,6 @@
 	"jacinthpaddle.example/fleet/connection/peer"
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/ident"
-	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/version/generation"
 	"jacinthpaddle.example/fleet/version/snapshot"
 )
@@ -34,47 +33,6 @@
 		event.Text("digest", m.Generation.Digest))
 }
 
-// Listed is the platform's list of VMs. Back says that the platform was away
-// before.
-type Listed struct {
-	List []vm.VM
-	Back bool
-}
-
-// Apply implements control.Message.
-func (m Listed) Apply(state *State) {
-	if m.Back {
-		state.lapsed = vm.Missing(m.List, state.list)
-		state.lapsedUntil = state.Clock.Now().Add(state.Settings.Platform.ReturnGrace)
-	}
-	state.list = m.List
-	entries := vm.InPool(m.List, state.Settings.Fleet.EntryPool)
-	state.Membership.SetPlatform(entries, state.Settings.peerAddress)
-	state.endpointsChanged()
-	state.fleetChanged()
-	if m.Back {
-		state.Book.StoreBack()
-		state.order(state.Book.Tick(state.Clock.Now()))
-		state.serveAll()
-	}
-}
-
-// endpointsChanged rebuilds the endpoints from the list. VMs that were missing when
-// the platform came back stay in use for a grace, since their entries can have
-// lapsed meanwhile. One that leaves the list later is gone at once.
-func (s *State) endpointsChanged() {
-	list := append(slices.Clone(s.list), vm.Missing(s.list, s.lapsed)...)
-	s.Endpoints.Update(list, s.Generation.Set.Pools)
-}
-
-// dropLapsed ends the grace of VMs that did not come back.
-func (s *State) dropLapsed(now time.Time) {
-	if len(s.lapsed) > 0 && !now.Before(s.lapsedUntil) {
-		s.lapsed = nil
-		s.endpointsChanged()
-	}
-}
-
 // announce tells a peer which generation is in force here.
 func (s *State) announce(to ident.Incarnation) {
 	if s.Generation.Number == 0 {
--- a/standin/process/machines/machines.go
+++ b/standin/process/machines/machines.go
@@ -61,8 +61,8 @@
 }
 
 // VMs implements vm.Lister.
-func (l *List) VMs(context.Context) ([]vm.VM, error) {
-	return l.shown.Get(), nil
+func (l *List) VMs(context.Context) (vm.List, error) {
+	return vm.List{VMs: l.shown.Get()}, nil
 }
 
 // Replace changes the whole list.
--- a/standin/request/platformapi/platformapi_test.go
+++ b/standin/request/platformapi/platformapi_test.go
@@ -63,8 +63,8 @@
 	if err != nil {
 		t.Fatalf("list: got %v, want no error", err)
 	}
-	states := make([]string, 0, len(list))
-	for _, machine := range list {
+	states := make([]string, 0, len(list.VMs))
+	for _, machine := range list.VMs {
 		states = append(states, machine.Name+" "+string(machine.State))
 	}
 	return strings.Join(states, ", ")
