Count a holder's demand once it is known, and let passive holders draw for requests only

The first leader that spent of a budget saw no other demand in the account and took two fifths of it, the next one as much of the rest: 13.6 of 14.8 million tokens of the largest budget were out after 1.4 s, and lost with processes that were killed. Holders that had lost their bankers in a partition drew shares of their own as soon as the store was back. Ruled out: holdings of weak machines (0 of the 13.6 million), unanswered draws.

Change: a demand counts in proportion to how long it was observed, up to 12 s, and for four even shares at most; a holder that bankers hold for draws what a request needs; shares are counted by those that spend; accounts read along with others are taken note of; the leading processes have four fifths of the fleet's slack in retries.

--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -114,13 +114,15 @@
 }
 
 // View is what one holder learns from an account. Others lists the other open
-// holders, the largest first, and OtherDemand is how fast they spend together.
+// holders, the largest first. OtherDemand is how fast they spend together, and
+// Spending how many of them do.
 type View struct {
 	Found       bool
 	Record      Holder
 	Remaining   int64
 	Others      []ident.Incarnation
 	OtherDemand float64
+	Spending    int
 }
 
 // View reads one account for the holder.
@@ -136,6 +138,9 @@
 		if other != holder && !record.Closed {
 			view.Others = append(view.Others, other)
 			view.OtherDemand += record.Demand
+			if record.Demand > 0 {
+				view.Spending++
+			}
 		}
 	}
 	slices.SortFunc(view.Others, func(a, b ident.Incarnation) int {
--- a/fleet/process/rights/book.go
+++ b/fleet/process/rights/book.go
@@ -152,9 +152,7 @@
 	holding.Away = false
 	holding.Failures = 0
 	holding.RetryAt = time.Time{}
-	holding.Remaining = view.Remaining
-	holding.Others = view.Others
-	holding.OtherDemand = view.OtherDemand
+	holding.see(view)
 	holding.Shut = holding.Shut || view.Record.Closed || (holding.Opened && !view.Found)
 	holding.Opened = holding.Opened || view.Found
 	if view.Found && !view.Record.Closed {
@@ -172,6 +170,16 @@
 	return orders
 }
 
+// Observed takes the account of a budget that was read along with others, while
+// nothing was changed on it.
+func (b *Book[S]) Observed(budget string, view account.View) {
+	holding, ok := b.Holdings[budget]
+	if !ok || holding.Drawing {
+		return
+	}
+	holding.see(view)
+}
+
 // StoreFailed says that the store gave no answer for the budget's account.
 func (b *Book[S]) StoreFailed(budget string, now time.Time) Orders {
 	holding := b.Holding(budget)
--- a/fleet/process/rights/holding.go
+++ b/fleet/process/rights/holding.go
@@ -50,9 +50,10 @@
 // was closed there, and Closing that the holder itself gave up its rights.
 // Drawing says that the store is being asked, and Unsure that it did not answer
 // and may have granted credits. Away says that it gave no answer when it was
-// last asked. OtherDemand is that of the other holders by the account, in credits a
-// second, and Size an average of what requests had to wait for. Refunded is what the holder gave back while it goes on, and
-// RefundSeen how much of that the store is known to have.
+// last asked. OtherDemand is how fast the other holders spend by the account, in
+// credits a second, and Spending how many of them do. Size is an average of what
+// requests had to wait for. Refunded is what the holder gave back while it goes on,
+// and RefundSeen how much of that the store is known to have.
 type Holding struct {
 	Budget      string                         `json:"budget"`
 	Purse       *Purse                         `json:"-"`
@@ -60,6 +61,7 @@
 	Granted     int64                          `json:"granted"`
 	Remaining   int64                          `json:"remaining"`
 	OtherDemand float64                        `json:"other_demand"`
+	Spending    int                            `json:"spending"`
 	Returned    int64                          `json:"returned"`
 	Refunded    int64                          `json:"refunded"`
 	RefundSeen  int64                          `json:"refund_seen"`
@@ -102,6 +104,14 @@
 	}
 }
 
+// see takes what the account tells of others.
+func (h *Holding) see(view account.View) {
+	h.Remaining = view.Remaining
+	h.Others = view.Others
+	h.OtherDemand = view.OtherDemand
+	h.Spending = view.Spending
+}
+
 // Parked returns the credits granted here that the ceiling keeps from use. None
 // can be raised any more once the rights were given up or the record closed.
 func (h *Holding) Parked() int64 {
--- a/fleet/process/rights/refund_test.go
+++ b/fleet/process/rights/refund_test.go
@@ -82,3 +82,14 @@
 		t.Errorf("draws once it is back: got %d, want 1", got)
 	}
 }
+
+// What is read of an account along with others tells that there are credits again.
+func TestObservedCreditsAreDrawnOn(t *testing.T) {
+	now := time.Unix(0, 0)
+	book := idle(now, 0)
+	book.Observed(budget, account.View{Found: true, Remaining: 0})
+	book.Observed(budget, account.View{Found: true, Remaining: 5_000})
+	if orders := book.Want(budget, 100, now.Add(time.Second)); len(orders.Draws) != 1 {
+		t.Errorf("draws after a refund by others: got %d, want 1", len(orders.Draws))
+	}
+}
--- a/fleet/process/rights/shortage.go
+++ b/fleet/process/rights/shortage.go
@@ -98,17 +98,24 @@
 	}}}
 }
 
-// bankerOf returns the peer from which one holding is refilled, if it is not steady.
+// bankerOf returns the peer from which one holding is refilled, if it is passive.
 func (b *Book[S]) bankerOf(holding *Holding) (ident.Incarnation, bool) {
-	if holding.steady() {
+	if !b.passive(holding) {
 		return "", false
 	}
-	return b.Banker()
+	return b.banker()
 }
 
-// Banker returns the peer from which this holder refills. Holders of one zone are
+// passive reports whether bankers hold for this holder, be they within reach or not:
+// it draws itself only for requests that wait. A partition would else have all
+// holders of a large fleet take their shares at once.
+func (b *Book[S]) passive(holding *Holding) bool {
+	return len(b.Banking.Bankers) > 0 && !holding.steady()
+}
+
+// banker returns the peer from which this holder refills. Holders of one zone are
 // spread over its bankers.
-func (b *Book[S]) Banker() (ident.Incarnation, bool) {
+func (b *Book[S]) banker() (ident.Incarnation, bool) {
 	var reached []ident.Incarnation
 	for _, peer := range b.Banking.Bankers {
 		if slices.Contains(b.Peers, peer) {
@@ -126,7 +133,7 @@
 // all of them kept would be missing elsewhere. It turns to the store only to learn
 // what became of an earlier draw.
 func (b *Book[S]) refill(holding *Holding, now time.Time) Orders {
-	if _, ok := b.bankerOf(holding); ok && !holding.Unsure {
+	if b.passive(holding) && !holding.Unsure {
 		return Orders{}
 	}
 	return b.draw(holding, now)
@@ -206,7 +213,7 @@
 	if holding.Drawing || holding.Shut || !holding.Opened || now.Before(holding.RetryAt) {
 		return Orders{}
 	}
-	if _, banked := b.bankerOf(holding); !banked && !holding.Away {
+	if !b.passive(holding) && !holding.Away {
 		surplus := b.Sizer.Surplus(b.situation(holding))
 		holding.Refunded += holding.Purse.Take(surplus)
 	}
@@ -230,6 +237,9 @@
 		return 0
 	}
 	situation := b.situation(holding)
+	if b.passive(holding) {
+		return max(0, situation.Need-situation.Held)
+	}
 	amount := max(0, b.Sizer.Draw(situation))
 	if b.Sizer.Guarded() && len(holding.latest().Guards) == 0 && b.choose(holding) == nil {
 		amount = min(amount, max(0, b.Sizer.Exposure(situation)-situation.Held))
@@ -237,9 +247,14 @@
 	return amount
 }
 
-// holders returns how many processes share what remains.
+// holders returns how many processes share what remains: those that draw, or those
+// that spend if they are more. Where nothing is known of either, all other holders
+// count.
 func (b *Book[S]) holders(holding *Holding) int {
-	return max(b.Banking.All, len(holding.Others)+1)
+	if b.Banking.All > 0 {
+		return max(b.Banking.All, holding.Spending+1)
+	}
+	return len(holding.Others) + 1
 }
 
 // need returns what requests wait for, here and at those who refill here.
@@ -257,6 +272,7 @@
 	}
 	return Situation{
 		Demand:      holding.Demand.Rate,
+		Observed:    holding.Demand.Since.Sub(holding.Demand.Begun),
 		OtherDemand: holding.OtherDemand,
 		Need:        b.need(holding),
 		Held:        holding.Held(),
--- a/fleet/process/rights/sizing.go
+++ b/fleet/process/rights/sizing.go
@@ -8,9 +8,11 @@
 // Situation is what a Sizer decides on, for one budget at one holder. Held is
 // what the holder has and did not spend, and Remaining what the store had left
 // to grant when it was last read. Demand is the holder's, and OtherDemand that of
-// all other holders when they last drew. Amounts are in credits.
+// all other holders when they last drew. Observed is how long Demand has been
+// observed. Amounts are in credits.
 type Situation struct {
 	Demand      float64
+	Observed    time.Duration
 	OtherDemand float64
 	Need        int64
 	Held        int64
--- a/fleet/process/rights/spread.go
+++ b/fleet/process/rights/spread.go
@@ -14,6 +14,13 @@
 // rest going by demand. A holder that had no demand may have some in a partition.
 const EvenWeight = 0.4
 
+// LearningTime is how long a holder must have seen its demand before it counts in
+// full. The first holder that spends would else take the shares of all others.
+const LearningTime = 12 * time.Second
+
+// MaxEvenShares bounds the share of one holder, in even shares.
+const MaxEvenShares = 4
+
 // SpareShare is the part of its share that a holder keeps whatever its demand was.
 const SpareShare = 0.35
 
@@ -89,5 +96,7 @@
 	if whole == 0 {
 		return even
 	}
-	return EvenWeight*even + (1-EvenWeight)*s.Demand/whole
+	known := min(1, s.Observed.Seconds()/LearningTime.Seconds())
+	byDemand := known * (1 - EvenWeight)
+	return (1-byDemand)*even + byDemand*min(s.Demand/whole, MaxEvenShares*even)
 }
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -166,16 +166,30 @@
 	s.Keeper.SetInterval(spaced(s.Settings.Journal.FlushInterval, size, FlushShare))
 	s.Keeper.SetPeers(s.Clock.Now(), s.keepers(members))
 	s.journal()
-	s.resizeRetries(size)
+	s.resizeRetries(s.Book.Banking.All, size, leads(ranks[self.Place], self))
 	s.Fleet.Store(&members)
 	s.Watches.Store(watching)
 }
 
-// resizeRetries gives this process its part of the retries of the fleet.
-func (s *State) resizeRetries(processes int) {
+// LeadingSlack is the part of the fleet's slack in retries that goes to those
+// processes that callers are sent to, where there are others.
+const LeadingSlack = 0.8
+
+// resizeRetries gives this process its part of the retries of the fleet, which has
+// so many leading processes of all.
+func (s *State) resizeRetries(leading, all int, leads bool) {
 	settings := s.Settings.Retries
-	share := float64(settings.SharePercent) / 100
-	s.Retries.SetConfig(retry.FleetBudget(share, float64(settings.Slack), settings.Window, processes))
+	share, slack, sharing := float64(settings.SharePercent)/100, float64(settings.Slack), leading
+	switch {
+	case leading >= all:
+		sharing = all
+	case leads:
+		slack *= LeadingSlack
+	default:
+		slack *= 1 - LeadingSlack
+		sharing = all - leading
+	}
+	s.Retries.SetConfig(retry.FleetBudget(share, slack, settings.Window, sharing))
 }
 
 // running counts the VMs on which a member is not known to have ended. Records of
--- a/router/process/node/rights.go
+++ b/router/process/node/rights.go
@@ -56,7 +56,7 @@
 // first request, if they are few and nobody guards them: in a partition that comes
 // first it could draw nothing.
 func (s *State) holdEarly(now time.Time) {
-	_, banked := s.Book.Banker()
+	banked := len(s.Book.Banking.Bankers) > 0
 	budgets := s.Generation.Set.Budgets
 	if s.Book.Sizer.Guarded() || banked || len(budgets) > EarlyBudgets || now.Sub(s.Started) < EarlyDelay {
 		return
@@ -292,10 +292,22 @@
 		state.consider(budget, m.Page)
 	}
 	if m.Err == nil {
+		state.observe(m)
 		state.dispatch(page)
 	}
 }
 
+// observe tells the book of the accounts that were read along with those that the
+// job was about.
+func (s *State) observe(m PageChanged) {
+	drawn := m.Job.drawn()
+	for budget := range m.Page.Accounts {
+		if s.holds(budget) && !slices.Contains(drawn, budget) {
+			s.Book.Observed(budget, m.Page.View(budget, s.Self, s.purchased(budget)))
+		}
+	}
+}
+
 func (s *State) logDrawn(budget string) {
 	holding := s.Book.Holding(budget)
 	level := holding.Purse.Level()
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -192,7 +192,7 @@
 	state.Book.VM = self.VM
 	state.Book.Window = settings.Rights.Window
 	state.Watches.Store(true)
-	state.resizeRetries(1)
+	state.resizeRetries(1, 1, true)
 	return state
 }
 
