Keep the shares of guarded holders by their number

Cause: reading the change: a fleet with guards counted the leading processes in place of the holders of a budget. Ruled out: any effect on the platform, where nobody guards.

--- a/fleet/process/rights/shortage.go
+++ b/fleet/process/rights/shortage.go
@@ -230,8 +230,8 @@
 }
 
 // amount returns how many credits to ask of the store. A store that had none
-// left is only asked for requests that wait, and not again at once. A holder that nobody can guard
-// takes what it exposes anyway.
+// left is only asked for requests that wait, and not again at once. A holder that
+// nobody can guard takes what it exposes anyway.
 func (b *Book[S]) amount(holding *Holding, now time.Time) int64 {
 	if holding.Remaining == 0 && (b.need(holding) == 0 || now.Sub(holding.SeenAt) < EmptyTime) {
 		return 0
@@ -247,14 +247,17 @@
 	return amount
 }
 
-// holders returns how many processes share what remains: those that draw, or those
-// that spend if they are more. Where nothing is known of either, all other holders
-// count.
+// holders returns how many processes share what remains: those that draw for the
+// fleet, and without guards those that spend if they are more.
 func (b *Book[S]) holders(holding *Holding) int {
-	if b.Banking.All > 0 {
+	switch {
+	case !b.Sizer.Guarded() && b.Banking.All > 0:
 		return max(b.Banking.All, holding.Spending+1)
+	case b.Banking.Banks:
+		return b.Banking.All
+	default:
+		return len(holding.Others) + 1
 	}
-	return len(holding.Others) + 1
 }
 
 // need returns what requests wait for, here and at those who refill here.
