--- a/jacinth/request/command/arguments.go
+++ b/jacinth/request/command/arguments.go
@@ -17,6 +17,7 @@
 	Drain   *Drain   `arg:"subcommand:drain" help:"tell a router to stop once its requests have ended"`
 	Audit   *Audit   `arg:"subcommand:audit" help:"compare bills with accounts and purchases"`
 	Bills   *Bills   `arg:"subcommand:bills" help:"list the bill of each request"`
+	Trace   *Trace   `arg:"subcommand:trace" help:"follow one request through the logs of routers"`
 	Key     *Key     `arg:"subcommand:key" help:"print a fresh key and its digest"`
 	Version *Version `arg:"subcommand:version" help:"print the version"`
 }
@@ -63,6 +64,13 @@
 	Team string `arg:"--team" placeholder:"NAME" help:"only the requests of one team"`
 }
 
+// Trace follows one request through the logs of routers.
+type Trace struct {
+	Request string        `arg:"--request,required" placeholder:"ID" help:"how the request's name ends, such as the caller's id of its attempt"`
+	Before  time.Duration `arg:"--before" default:"10s" placeholder:"DURATION" help:"how much to show of what happened before the request"`
+	Logs    []string      `arg:"positional,required" placeholder:"FILE" help:"logs of routers"`
+}
+
 // Key prints a fresh key and its digest.
 type Key struct{}
 
