Have processes read the configuration for themselves while their zone's watchers are silent

Ruled out: a lost announcement (its watchers had nothing to announce) and slow reads.

Only where lists have versions, so that fleets on the product's own platform watch as before.

--- a/router/process/node/list.go
+++ b/router/process/node/list.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"jacinthpaddle.example/fleet/connection/peer"
+	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/vm"
 )
@@ -13,6 +15,29 @@
 // list from a peer before it reads the list itself.
 const ListSlack = 300 * time.Millisecond
 
+// Relay tells whether peers keep a process informed of what it does not watch.
+// Watches says that it watches itself, Versions that the platform's list has versions,
+// without which peers pass nothing on, and Heard when one last sent news of it.
+type Relay struct {
+	Clock    clock.Clock
+	Silence  time.Duration
+	Watches  *atomic.Bool
+	Versions *atomic.Bool
+	Heard    *atomic.Pointer[time.Time]
+}
+
+// Fresh reports whether peers that can reach the platform sent news lately.
+func (r Relay) Fresh() bool {
+	heard := r.Heard.Load()
+	return heard != nil && r.Clock.Since(*heard) < r.Silence
+}
+
+// Reads reports whether the process has to read the platform for itself: since it is
+// one of those that watch, or since these cannot be heard.
+func (r Relay) Reads() bool {
+	return r.Watches.Load() || r.Versions.Load() && !r.Fresh()
+}
+
 // Listed is the platform's list of VMs, read by this process. Back says that the
 // platform was away before.
 type Listed struct {
--- a/router/process/node/list_test.go
+++ b/router/process/node/list_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -113,3 +115,32 @@
 		t.Errorf("answers: got %+v, want the whole list", answers)
 	}
 }
+
+// A process that was started anew while those that watch for its zone were cut off
+// learned of no configuration for 4 s (kowhai-remind-grown scale-1, seed 634203166664,
+// CONFIG): it neither watched nor was told.
+func TestProcessesReadForThemselvesWithoutNews(t *testing.T) {
+	fake := clock.NewFake()
+	relay := node.Relay{
+		Clock: fake, Silence: 2 * time.Second,
+		Watches: &atomic.Bool{}, Versions: &atomic.Bool{}, Heard: &atomic.Pointer[time.Time]{},
+	}
+	check := func(moment string, want bool) {
+		t.Helper()
+		if got := relay.Reads(); got != want {
+			t.Errorf("%s: got reads %t, want %t", moment, got, want)
+		}
+	}
+	check("on a platform without versions", false)
+	relay.Versions.Store(true)
+	check("before any news", true)
+	now := fake.Now()
+	relay.Heard.Store(&now)
+	check("after news", false)
+	fake.Advance(relay.Silence)
+	check("without news for long", true)
+	relay.Heard.Store(nil)
+	relay.Versions.Store(false)
+	relay.Watches.Store(true)
+	check("as one that watches", true)
+}
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -247,16 +247,21 @@
 
 // start begins the process's own work.
 func (n *Node) start() {
+	relay := Relay{
+		Clock:    n.Clock,
+		Silence:  n.Settings.Platform.WatchWait + n.Settings.Platform.WatchMargin + ListSlack,
+		Watches:  n.state.Watches,
+		Versions: &atomic.Bool{},
+		Heard:    n.state.ListHeard,
+	}
 	lists := &lister{
 		clock:    n.Clock,
 		vms:      n.platform,
 		thread:   n.thread,
 		log:      n.Log,
 		interval: n.Settings.Platform.ListInterval,
-		silence:  n.Settings.Platform.WatchWait + n.Settings.Platform.WatchMargin + ListSlack,
 		members:  n.state.Fleet,
-		watches:  n.state.Watches,
-		heard:    n.state.ListHeard,
+		relay:    relay,
 	}
 	pointer := &watcher{
 		clock:   n.Clock,
@@ -265,7 +270,7 @@
 		log:     n.Log,
 		wait:    n.Settings.Platform.WatchWait,
 		retry:   n.Settings.Platform.WatchRetry,
-		waits:   n.state.Watches,
+		relay:   relay,
 	}
 	poller := endpoint.NewPoller(n.state.EndpointConfig, n.Clock, n.state.Endpoints)
 	go pointer.run(n.ctx)
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -102,28 +102,20 @@
 	thread   *Thread
 	log      *event.Log
 	interval time.Duration
-	silence  time.Duration
 	members  *atomic.Pointer[[]member.Member]
-	watches  *atomic.Bool
-	heard    *atomic.Pointer[time.Time]
+	relay    Relay
 	down     bool
 }
 
 func (l *lister) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !l.relayed() {
+		if l.relay.Reads() || !l.relay.Fresh() {
 			l.poll(ctx)
 		}
 		sleep(ctx, l.clock, l.pause())
 	}
 }
 
-// relayed reports whether peers keep this process's list fresh.
-func (l *lister) relayed() bool {
-	heard := l.heard.Load()
-	return !l.watches.Load() && heard != nil && l.clock.Since(*heard) < l.silence
-}
-
 func (l *lister) pause() time.Duration {
 	members := l.members.Load()
 	if members == nil {
@@ -146,12 +138,13 @@
 		l.log.Emit(event.PlatformBack)
 	}
 	l.down = false
+	l.relay.Versions.Store(list.Version > 0)
 	l.thread.Tell(Listed{List: list, Back: back})
 }
 
 // watcher follows the generation pointer in the store. In a large fleet a few
-// processes of each availability zone wait for changes, and the others hear of
-// them from peers and read the pointer now and then.
+// processes of each availability zone wait for changes. The others hear of them from
+// peers, read the pointer now and then, and follow it while those cannot be heard.
 type watcher struct {
 	clock   clock.Clock
 	objects store.Store
@@ -159,7 +152,7 @@
 	log     *event.Log
 	wait    time.Duration
 	retry   time.Duration
-	waits   *atomic.Bool
+	relay   Relay
 	held    string
 }
 
@@ -168,7 +161,7 @@
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		version, err := w.read(ctx)
-		for err == nil && ctx.Err() == nil && w.waits.Load() {
+		for err == nil && ctx.Err() == nil && w.relay.Reads() {
 			version, err = w.follow(ctx, version)
 		}
 		if err != nil && ctx.Err() == nil {
@@ -181,11 +174,11 @@
 }
 
 // idle waits until the pointer is to be read again: after PointerInterval, or once
-// this process is one of those that watch.
+// this process has to read it for itself.
 func (w *watcher) idle(ctx context.Context) {
 	end := w.clock.Now().Add(PointerInterval)
-	for ctx.Err() == nil && !w.waits.Load() && w.clock.Now().Before(end) {
-		sleep(ctx, w.clock, WatchRetry)
+	for ctx.Err() == nil && !w.relay.Reads() && w.clock.Now().Before(end) {
+		sleep(ctx, w.clock, w.retry)
 	}
 }
 
