peer: Count a relayed message before it is queued

The route is now looked up first, the message counted, then queued; a full queue takes the count back.

--- a/fleet/connection/peer/counters.go
+++ b/fleet/connection/peer/counters.go
@@ -21,7 +21,8 @@
 	Dropped map[Kind]int64 `json:"dropped"`
 	// Ended counts links that ended, by reason.
 	Ended map[Reason]int64 `json:"ended"`
-	// Relayed counts messages forwarded for other processes.
+	// Relayed counts messages queued for other processes. It includes a message before
+	// its receiver can get it.
 	Relayed int64 `json:"relayed"`
 	// Unrouted counts messages for other processes that could not be forwarded.
 	Unrouted int64 `json:"unrouted"`
--- a/fleet/connection/peer/relay.go
+++ b/fleet/connection/peer/relay.go
@@ -37,14 +37,24 @@
 
 // forward queues the message on the next link of its route.
 func (h *Hub) forward(message Message) error {
+	next, message, err := h.nextLink(message)
+	if err != nil {
+		return err
+	}
+	return next.enqueue(message)
+}
+
+// nextLink returns the next link on the route of the message, and the message as it is
+// sent on that link. It returns a NoRouteError.
+func (h *Hub) nextLink(message Message) (*link, Message, error) {
 	next, direct, ok := h.route(message.To)
 	if !ok || message.Hops >= MaxHops {
-		return &NoRouteError{To: message.To}
+		return nil, message, &NoRouteError{To: message.To}
 	}
 	if direct && message.From == h.self {
 		message.From, message.To = "", ""
 	}
-	return next.enqueue(message)
+	return next, message, nil
 }
 
 // route returns the next link for a message to the process, and whether it leads there
@@ -94,11 +104,20 @@
 // relay forwards a message of another process and counts whether that succeeded.
 func (h *Hub) relay(message Message) {
 	message.Hops++
-	if err := h.forward(message); err != nil {
+	next, message, err := h.nextLink(message)
+	if err != nil {
 		h.counters.update(func(values *Counters) { values.Unrouted++ })
 		return
 	}
+	// The receiver can act on the message as soon as it is queued, so that it must be
+	// counted before.
 	h.counters.update(func(values *Counters) { values.Relayed++ })
+	if next.enqueue(message) != nil {
+		h.counters.update(func(values *Counters) {
+			values.Relayed--
+			values.Unrouted++
+		})
+	}
 }
 
 // openLinks returns all registered links.
