router, platform: Take fractional bounds; start retry budgets with their share

A budget also started with one retry in each process, so that 195 processes made 195 retries at once where the slack allowed 39.

Change: the slack is a number; a number or switch without a value keeps its default; a new budget has the process's part of the slack.

--- a/fleet/process/setting/setting.go
+++ b/fleet/process/setting/setting.go
@@ -2,8 +2,9 @@
 //
 // A settings struct has one struct field for each section, and each of those has one
 // field for each key. The tag `ini` names the section or key. The values that the
-// fields have before decoding are the defaults. All invalid settings are reported
-// together.
+// fields have before decoding are the defaults. A number or switch without a value
+// keeps its default too, since a template leaves the value out if it has none. All
+// invalid settings are reported together.
 //
 // # Usage
 //
@@ -111,6 +112,9 @@
 
 // setField parses the text as the type of the field.
 func setField(field reflect.Value, text string) error {
+	if text == "" && field.Kind() != reflect.String {
+		return nil
+	}
 	if field.Type() == reflect.TypeFor[time.Duration]() {
 		duration, err := time.ParseDuration(text)
 		if err != nil {
--- a/fleet/process/setting/setting_test.go
+++ b/fleet/process/setting/setting_test.go
@@ -32,6 +32,18 @@
 	}
 }
 
+func TestDecodeKeepsDefaultsOfEmptyNumbers(t *testing.T) {
+	got := settings{Listen: listen{Port: 1, Timeout: time.Second, Name: "replaced", Strict: true, Share: 0.4}}
+	content := "[listen]\nport =\ntimeout =\nname =\nstrict =\nshare =\n"
+	if err := setting.Decode([]byte(content), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := settings{Listen: listen{Port: 1, Timeout: time.Second, Strict: true, Share: 0.4}}
+	if got != want {
+		t.Errorf("settings: got %+v, want %+v", got, want)
+	}
+}
+
 func TestDecodeListsEveryFault(t *testing.T) {
 	content := "[listen]\nport = seven\ntimeout = 3\ncolour = red\nshare = NaN\n[other]\nkey = 1\n"
 	err := setting.Decode([]byte(content), &settings{})
--- a/fleet/request/retry/budget.go
+++ b/fleet/request/retry/budget.go
@@ -25,6 +25,8 @@
 	MinRetriesPerSecond float64
 	// Burst is the size of the bucket: the largest number of retries at once.
 	Burst float64
+	// Start is the number of retries in a new bucket.
+	Start float64
 }
 
 // Shares of the slack, which is the number of retries that a whole fleet may make in
@@ -39,24 +41,27 @@
 
 // FleetBudgetConfig returns the configuration of the budget of each process in a fleet.
 // In any window, all processes together make at most as many retries as ratio times
-// their requests, plus slack.
+// their requests, plus slack. A process whose part of the slack is below one retry has
+// to save up for its first one.
 func FleetBudgetConfig(ratio, slack float64, window time.Duration, processes int) BudgetConfig {
 	processSlack := slack / float64(max(1, processes))
+	burst := burstSlackShare * processSlack
 	return BudgetConfig{
 		RetryRatio:          ratio,
 		MinRetriesPerSecond: steadySlackShare * processSlack / window.Seconds(),
-		Burst:               max(1, burstSlackShare*processSlack),
+		Burst:               max(1, burst),
+		Start:               burst,
 	}
 }
 
 // BudgetDefaults returns the configuration for one pool in one process.
 func BudgetDefaults() BudgetConfig {
-	return BudgetConfig{RetryRatio: 0.1, MinRetriesPerSecond: 0.1, Burst: 5}
+	return BudgetConfig{RetryRatio: 0.1, MinRetriesPerSecond: 0.1, Burst: 5, Start: 5}
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a budget with the retries of config.Start.
 func NewBudget(config BudgetConfig, now time.Time) *Budget {
-	return &Budget{config: config, tokens: config.Burst, refilledAt: now}
+	return &Budget{config: config, tokens: config.Start, refilledAt: now}
 }
 
 // RecordRequest adds the retries that one request allows. It is called once for each
--- a/fleet/request/retry/budgets.go
+++ b/fleet/request/retry/budgets.go
@@ -16,7 +16,7 @@
 	byPool map[string]*Budget
 }
 
-// NewBudgets returns an empty set of budgets. Each starts full.
+// NewBudgets returns an empty set of budgets.
 func NewBudgets(config BudgetConfig, clk clock.Clock) *Budgets {
 	return &Budgets{config: config, clock: clk, byPool: make(map[string]*Budget)}
 }
--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -87,7 +87,7 @@
 	check.within(int64(s.Quota.Pages), 1, account.PageCount, "rights", "pages")
 	check.within(int64(s.Platform.PolledEndpoints), 0, 1024, "platform", "polled_endpoints")
 	check.within(int64(s.Retries.SharePercent), 0, 100, "retries", "share_percent")
-	check.within(int64(s.Retries.Slack), 0, 1<<20, "retries", "slack")
+	check.require(s.Retries.Slack >= 0, "retries", "slack", "must not be negative")
 }
 
 func (s Settings) checkDurations(check *checker) {
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -187,7 +187,7 @@
 // retries in a window that the budget allows beyond a ratio of the requests.
 func (s *State) resizeRetries(preferredCount, routerCount int, isPreferred bool) {
 	settings := s.Settings.Retries
-	ratio, slack, sharers := float64(settings.SharePercent)/100, float64(settings.Slack), preferredCount
+	ratio, slack, sharers := float64(settings.SharePercent)/100, settings.Slack, preferredCount
 	switch {
 	case preferredCount >= routerCount:
 		sharers = routerCount
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -156,7 +156,7 @@
 	// SharePercent is the maximum number of retries in percent of the requests.
 	SharePercent int `ini:"share_percent"`
 	// Slack is the number of retries in each Window beyond SharePercent.
-	Slack  int           `ini:"slack"`
+	Slack  float64       `ini:"slack"`
 	Window time.Duration `ini:"window"`
 }
 
