endpoint, serve: Bound response heads, and measure stalls by content

Cause: the transport read up to 10 MB of a head, so that 60 endpoints sending heads without end took a router from 21 MB to 970 MB; and each byte restarted the stall timeout, so that comments, empty events or single bytes kept callers waiting without a response or an error.

Change: a head, with informational heads before it, is bounded by 64 KiB. For streams the stall timeout counts the time spent in reading since the last content: an event, a frame with content, or 4 KiB more of an event. Comments before the first event are delivered with it, so that a retry stays possible.

--- a/fleet/connection/endpoint/body.go
+++ b/fleet/connection/endpoint/body.go
@@ -45,13 +45,34 @@
 	inactivity   *inactivityTimer
 	stallTimeout time.Duration
 	phase        Phase
+	// byProgress makes the stall timeout bound the time between two calls of progressed
+	// that is spent in Read, instead of the time of each Read.
+	byProgress bool
+	// waited is the time spent in Read since the last progress, with byProgress.
+	waited time.Duration
+}
+
+// progressed starts the stall timeout anew.
+func (b *body) progressed() {
+	b.waited = 0
 }
 
 // Read implements io.Reader.
 func (b *body) Read(content []byte) (int, error) {
-	b.inactivity.start(b.stallTimeout)
+	timeout := b.stallTimeout
+	if b.byProgress && timeout > 0 {
+		timeout -= b.waited
+		if timeout <= 0 {
+			stalled := &InactivityError{Timeout: b.stallTimeout}
+			b.cancel(stalled)
+			return 0, b.client.callError(b.ctx, b.phase, stalled)
+		}
+	}
+	started := b.client.clock.Now()
+	b.inactivity.start(timeout)
 	count, err := b.inner.Read(content)
 	b.inactivity.stop()
+	b.waited += b.client.clock.Since(started)
 	if count > 0 {
 		b.phase = MidStream
 	}
--- a/fleet/connection/endpoint/client.go
+++ b/fleet/connection/endpoint/client.go
@@ -75,7 +75,8 @@
 type Limits struct {
 	// Header bounds the wait for the head of the response.
 	Header time.Duration
-	// Stall bounds the wait for each further part of the response.
+	// Stall bounds the wait for each further part of the response, or for its progress
+	// after Response.MeasureProgress.
 	Stall time.Duration
 }
 
@@ -104,6 +105,27 @@
 	Delimited bool
 }
 
+// MeasureProgress makes Limits.Stall bound the time between two calls of Progressed
+// instead of the time between two bytes, so that an endpoint that only sends bytes
+// without content from time to time does not keep the request open. Time that the reader
+// spends outside of Read does not count.
+func (r *Response) MeasureProgress() {
+	if measured, ok := r.Body.(*body); ok {
+		measured.byProgress = true
+	}
+}
+
+// Progressed reports that the response has advanced.
+func (r *Response) Progressed() {
+	if measured, ok := r.Body.(*body); ok {
+		measured.progressed()
+	}
+}
+
+// MaxHeaderBytes bounds the head of a response, with all informational heads before it.
+// Endpoints in trouble may send a head without end.
+const MaxHeaderBytes = 64 << 10
+
 // Client holds the connections to one endpoint. It never repeats a request and follows
 // no redirects. It is safe for concurrent use.
 type Client struct {
@@ -132,9 +154,10 @@
 			}
 			return &conn{Conn: opened}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: config.MaxIdle,
-		IdleConnTimeout:     config.IdleTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    config.MaxIdle,
+		IdleConnTimeout:        config.IdleTimeout,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
 	return &Client{address: address, clock: clk, dialect: config.dialect(), transport: transport}
 }
--- a/fleet/request/serve/events.go
+++ b/fleet/request/serve/events.go
@@ -24,6 +24,8 @@
 const (
 	eventReadBytes = 16 << 10
 	maxEventBytes  = 1 << 20
+	// progressBytes is the part of an unfinished event that counts as progress.
+	progressBytes = 4 << 10
 )
 
 // EventStream relays a stream of server-sent events unchanged. It delivers complete
@@ -74,14 +76,32 @@
 	return min(plan.Reserve, plan.Floor+e.delivered*plan.TokensPerEvent)
 }
 
-// relayEvents delivers complete events until the end of the response.
+// relayEvents delivers complete events until the end of the response. Comments before
+// the first event are delivered with it, since another endpoint can still take over as
+// long as nothing was delivered.
+//
+// Only content counts as progress: an event, or progressBytes more of one. An endpoint
+// that sends nothing but comments or single bytes has stalled.
 func (e *EventStream) relayEvents(response *endpoint.Response, sink Sink) error {
 	var pending []byte
 	buffer := make([]byte, eventReadBytes)
+	response.MeasureProgress()
+	progressAt := progressBytes
 	for {
 		count, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:count]...)
 		complete := completeEventsSize(pending)
+		hasContent := containsEvent(pending[:complete])
+		if hasContent || len(pending) >= progressAt {
+			response.Progressed()
+			progressAt = len(pending) + progressBytes
+		}
+		if !hasContent && !e.started {
+			complete = 0
+		}
+		if complete > 0 {
+			progressAt = progressBytes
+		}
 		if failed := e.deliver(response, pending[:complete], sink); failed != nil {
 			return failed
 		}
@@ -178,6 +198,16 @@
 	return end + len(eventEnd)
 }
 
+// containsEvent reports whether complete events have a line that is not a comment.
+func containsEvent(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // firstEventSize returns the size in bytes of the first event. The content must start
 // with a complete event.
 func firstEventSize(content []byte) int {
--- a/fleet/request/serve/stream.go
+++ b/fleet/request/serve/stream.go
@@ -46,14 +46,16 @@
 	}
 	state := &chatStreamState{ChatStream: s, plan: plan, sink: sink}
 	state.result.Response.Status = response.Status
-	err := state.relayFrames(ctx, chat.NewReader(response.Body))
+	response.MeasureProgress()
+	err := state.relayFrames(ctx, response, chat.NewReader(response.Body))
 	state.applyCharge()
 	state.result.Err = err
 	return state.result
 }
 
-// relayFrames delivers frames until the end of a complete response.
-func (s *chatStreamState) relayFrames(ctx context.Context, frames *chat.Reader) error {
+// relayFrames delivers frames until the end of a complete response. Comments and frames
+// without content are no progress of the response.
+func (s *chatStreamState) relayFrames(ctx context.Context, response *endpoint.Response, frames *chat.Reader) error {
 	for {
 		frame, err := frames.Next()
 		var call *endpoint.CallError
@@ -67,6 +69,9 @@
 		case frame.Done:
 			return s.checkComplete()
 		}
+		if s.id == "" || frame.Content != "" || frame.FinishReason != "" || frame.Usage != nil {
+			response.Progressed()
+		}
 		if err := s.relayFrame(ctx, frame); err != nil {
 			return err
 		}
