listener: Serve established connections and first requests in a shutdown

Cause: closing the socket resets connections that the kernel has established and nobody has accepted, though callers may have sent requests on them; and net/http drops a first request that it reads after its own Shutdown began. Of 60 callers 18 saw a new connection end without a response in a planned stop.

--- a/router/connection/listener/listener.go
+++ b/router/connection/listener/listener.go
@@ -12,6 +12,8 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,14 +30,25 @@
 
 // Listener is one open socket and its server.
 type Listener struct {
-	socket net.Listener
+	socket *socket
 	server *http.Server
+	// stop stops the socket once.
+	stop sync.Once
+	// unread is the number of connections whose first request was not read yet.
+	unread atomic.Int64
 }
 
+// Waits of Shutdown for the first requests of new connections, which net/http drops if
+// they are read after its own Shutdown has begun.
+const (
+	unreadLimit = 250 * time.Millisecond
+	unreadPoll  = 5 * time.Millisecond
+)
+
 // Open listens on the address, which is an IP address and a port. Connections are served
 // after Serve is called.
 func Open(address string, limits Limits, handler http.Handler) (*Listener, error) {
-	socket, err := net.Listen("tcp", address)
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
@@ -46,7 +59,9 @@
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 	}
-	return &Listener{socket: socket, server: server}, nil
+	opened := &Listener{socket: newSocket(inner), server: server}
+	server.ConnState = opened.countUnread
+	return opened, nil
 }
 
 // Address returns the IP address and port of the socket.
@@ -64,11 +79,43 @@
 }
 
 // Shutdown stops accepting connections and waits until the requests in progress are
-// complete or the context ends.
+// complete or the context ends. Requests on connections that the kernel has already
+// established are served too.
 func (l *Listener) Shutdown(ctx context.Context) error {
+	l.stop.Do(l.socket.stop)
+	l.waitForFirstRequests(ctx)
 	return l.server.Shutdown(ctx)
 }
 
+// countUnread follows the state of a connection. A connection is new until its first
+// request was read or it is closed.
+func (l *Listener) countUnread(connection net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		l.unread.Add(1)
+	case http.StateActive, http.StateClosed, http.StateHijacked:
+		if accepted, ok := connection.(*trackedConn); ok && accepted.read.CompareAndSwap(false, true) {
+			l.unread.Add(-1)
+		}
+	}
+}
+
+// waitForFirstRequests waits until the first request of each accepted connection was
+// read, at most for unreadLimit, since a caller may open a connection and send nothing.
+func (l *Listener) waitForFirstRequests(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, unreadLimit)
+	defer cancel()
+	poll := time.NewTicker(unreadPoll)
+	defer poll.Stop()
+	for l.unread.Load() > 0 {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close closes the socket and all connections at once.
 func (l *Listener) Close() error {
 	return l.server.Close()
