router: Spread account updates, back off after conflicts, derive watch waits

Routers start together, so that their refills fell into the same 0.3 s and collided again after each conflict. Watches waited 1.2 s where the site allows 4 s for a change to be in force.

Change: periodic work begins at a moment that differs between processes; from the second conflict of a change on it waits for up to 20 to 160 ms; the new settings generation_bound and list_bound make watches wait for half of the bound of the site (1.2 s at 2.5 s as before, 1.95 s at 4 s).

--- a/fleet/process/page/page.go
+++ b/fleet/process/page/page.go
@@ -6,7 +6,8 @@
 //
 // # Usage
 //
-//	held, current, err := page.Modify(ctx, objects, held, func(p account.Page) bool {
+//	writer := page.Writer{Objects: objects, Clock: clock.New(), Random: random.New()}
+//	held, current, err := writer.Modify(ctx, held, func(p account.Page) bool {
 //		return p.Grant(request, purchased)
 //	})
 package page
@@ -14,10 +15,13 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/juju/errors"
 
 	"jacinthpaddle.example/fleet/process/account"
+	"jacinthpaddle.example/fleet/process/clock"
+	"jacinthpaddle.example/fleet/process/random"
 	"jacinthpaddle.example/fleet/process/store"
 )
 
@@ -25,6 +29,22 @@
 // update.
 const MaxAttempts = 16
 
+// Bounds of the random wait after a conflict. The first conflict of a change is followed
+// by no wait: it shows only that the held copy was outdated. The second one shows that
+// others write at the same time, and its wait is at most MinConflictBackoff. The bound
+// doubles with each further conflict, up to MaxConflictBackoff.
+const (
+	MinConflictBackoff = 20 * time.Millisecond
+	MaxConflictBackoff = 160 * time.Millisecond
+)
+
+// Writer changes account pages. It is safe for concurrent use if its Random is.
+type Writer struct {
+	Objects store.Store
+	Clock   clock.Clock
+	Random  random.Source
+}
+
 // ContendedError reports that a change used all of its attempts, as a rule because of
 // conflicts with other writers.
 type ContendedError struct {
@@ -41,12 +61,13 @@
 // that it altered the page. apply must be idempotent and may be called several times. held
 // is the object as last read or written, with version zero if it was never read. Modify
 // returns the object and the page as they are in the store.
-func Modify(ctx context.Context, objects store.Store, held store.Object, apply func(account.Page) bool) (store.Object, account.Page, error) {
+func (w Writer) Modify(ctx context.Context, held store.Object, apply func(account.Page) bool) (store.Object, account.Page, error) {
 	var err error
 	useHeld := held.Version != 0
+	conflicts := 0
 	for range MaxAttempts {
 		if !useHeld {
-			held, err = read(ctx, objects, held.Name)
+			held, err = read(ctx, w.Objects, held.Name)
 			if err != nil {
 				return held, account.Page{}, err
 			}
@@ -64,7 +85,7 @@
 			return held, current, nil
 		}
 		current.Compact()
-		written, err := write(ctx, objects, held, current)
+		written, err := write(ctx, w.Objects, held, current)
 		if err == nil {
 			return written, current, nil
 		}
@@ -72,10 +93,27 @@
 			return held, account.Page{}, err
 		}
 		held, useHeld = conflicting(held, err)
+		conflicts++
+		w.backOff(ctx, conflicts)
 	}
 	return held, account.Page{}, &ContendedError{Name: held.Name, Attempts: MaxAttempts}
 }
 
+// backOff waits after the conflict of the given number. Writers whose changes collide
+// would otherwise repeat them together and collide again.
+func (w Writer) backOff(ctx context.Context, conflicts int) {
+	if conflicts < 2 {
+		return
+	}
+	bound := min(MaxConflictBackoff, MinConflictBackoff<<(conflicts-2))
+	timer := w.Clock.NewTimer(time.Duration(w.Random.Float64() * float64(bound)))
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
 // conflicting returns the stored object that a write conflicted with, and true if the
 // error contains the value of that object.
 func conflicting(held store.Object, err error) (store.Object, bool) {
--- a/fleet/process/quota/spread.go
+++ b/fleet/process/quota/spread.go
@@ -93,11 +93,16 @@
 
 // target returns how many credits to hold.
 func (d DemandSpread) target(input SizingInput) int64 {
-	share := int64(d.MaxFraction(input) * float64(input.Remaining))
+	share := d.share(input)
 	wanted := max(creditsFor(input.Demand, d.Horizon), int64(MinShareFraction*float64(share)))
 	return max(min(share, wanted), creditsFor(input.Demand, MinHorizon))
 }
 
+// share returns the most that this holder keeps of what remains.
+func (d DemandSpread) share(input SizingInput) int64 {
+	return int64(d.MaxFraction(input) * float64(input.Remaining))
+}
+
 // shareWeight returns the fraction of what all holders keep together that this holder
 // keeps.
 func (d DemandSpread) shareWeight(input SizingInput) float64 {
--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -29,6 +29,14 @@
 	c.require(value > 0, section, key, "must be more than zero")
 }
 
+// MinBound is the shortest bound on the time until a change of the store is in force.
+const MinBound = time.Second
+
+// bound requires a bound that is not set, or long enough for two watches of the store.
+func (c *checker) bound(value time.Duration, section, key string) {
+	c.require(value == 0 || value >= MinBound, section, key, fmt.Sprintf("must be 0 or at least %s", MinBound))
+}
+
 func (c *checker) within(value, low, high int64, section, key string) {
 	c.require(value >= low && value <= high, section, key, fmt.Sprintf("must be from %d to %d", low, high))
 }
@@ -93,6 +101,8 @@
 func (s Settings) checkDurations(check *checker) {
 	check.positive(s.Platform.CallTimeout, "platform", "call_timeout")
 	check.positive(s.Platform.WatchWait, "platform", "watch_wait")
+	check.bound(s.Platform.GenerationBound, "platform", "generation_bound")
+	check.bound(s.Platform.ListBound, "platform", "list_bound")
 	check.positive(s.Platform.ListInterval, "platform", "list_interval")
 	check.positive(s.Platform.WatchMargin, "platform", "watch_margin")
 	check.positive(s.Platform.WatchRetry, "platform", "watch_retry")
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -29,6 +29,8 @@
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/meter"
+	"jacinthpaddle.example/fleet/process/page"
+	"jacinthpaddle.example/fleet/process/random"
 	"jacinthpaddle.example/fleet/process/secret"
 	"jacinthpaddle.example/fleet/request/serve"
 	"jacinthpaddle.example/router/connection/listener"
@@ -181,7 +183,8 @@
 		Clock:    n.Clock,
 		Receiver: receiver,
 	})
-	worker := &ioWorker{Hub: n.hub, ctx: n.ctx, self: n.Self, objects: n.platform}
+	pages := page.Writer{Objects: n.platform, Clock: n.Clock, Random: random.New()}
+	worker := &ioWorker{Hub: n.hub, ctx: n.ctx, self: n.Self, objects: n.platform, pages: pages}
 	n.state = NewState(self, n.Settings, n.dialect(), n.Clock, n.Log, worker)
 	n.state.OnEvicted = n.Drain
 	n.thread = control.New(n.state, n.Deps.Fatal)
@@ -269,7 +272,7 @@
 func (n *Node) start() {
 	policy := ReadPolicy{
 		Clock:          n.Clock,
-		SilenceTimeout: n.Settings.Platform.WatchWait + n.Settings.Platform.WatchMargin + ListGrace,
+		SilenceTimeout: n.Settings.Platform.ListWait() + n.Settings.Platform.WatchMargin + ListGrace,
 		WatchesStore:   n.state.WatchesStore,
 		ListVersioned:  &atomic.Bool{},
 		ReceivedAt:     n.state.ListReceivedAt,
@@ -288,7 +291,7 @@
 		objects: n.platform,
 		thread:  n.thread,
 		log:     n.Log,
-		wait:    n.Settings.Platform.WatchWait,
+		wait:    n.Settings.Platform.GenerationWait(),
 		retry:   n.Settings.Platform.WatchRetry,
 		policy:  policy,
 	}
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -26,13 +26,14 @@
 	ctx     context.Context
 	self    ident.Incarnation
 	objects store.Store
+	pages   page.Writer
 	thread  *Thread
 }
 
 // UpdatePage implements AsyncIO.
 func (w *ioWorker) UpdatePage(update PageUpdate) {
 	go func() {
-		object, changed, err := page.Modify(w.ctx, w.objects, update.CachedObject, update.Apply)
+		object, changed, err := w.pages.Modify(w.ctx, update.CachedObject, update.Apply)
 		w.thread.Send(PageUpdated{Update: update, Object: object, Page: changed, Err: err})
 	}()
 }
--- /dev/null
+++ b/router/process/node/schedule.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jacinthpaddle.example/fleet/process/ident"
+)
+
+// schedule decides when periodic work is due. Its intervals begin at a moment that
+// differs between processes: those that started together would otherwise all update the
+// same account page at once, and most of the updates would conflict.
+type schedule struct {
+	start time.Time
+	// phase is the part of an interval, from 0 to 1, by which the intervals are shifted.
+	phase float64
+	// last is the number of the interval in which the work ran last, or -1.
+	last int64
+}
+
+func newSchedule(self ident.Incarnation, start time.Time) schedule {
+	return schedule{start: start, phase: float64(xxhash.Sum64String(string(self))) / math.MaxUint64, last: -1}
+}
+
+// due reports whether the work has not run in the current interval yet, and counts it as
+// run. It is due at the first call.
+func (s *schedule) due(now time.Time, interval time.Duration) bool {
+	shift := time.Duration(s.phase * float64(interval))
+	number := int64((now.Sub(s.start) + shift) / interval)
+	if number == s.last {
+		return false
+	}
+	s.last = number
+	return true
+}
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -63,7 +63,12 @@
 	CallTimeout time.Duration `ini:"call_timeout"`
 	// WatchWait is the time that the API may wait for a change before it responds.
 	WatchWait time.Duration `ini:"watch_wait"`
-	// WatchMargin is the time that a watch may take beyond WatchWait.
+	// GenerationBound is the time within which a new generation must be active. If it is
+	// set, watches of the generation wait for a time derived from it instead of WatchWait.
+	GenerationBound time.Duration `ini:"generation_bound"`
+	// ListBound is the same for a change of the list of VMs.
+	ListBound time.Duration `ini:"list_bound"`
+	// WatchMargin is the time that a watch may take beyond its wait.
 	WatchMargin time.Duration `ini:"watch_margin"`
 	// WatchRetry is the pause after a failed watch.
 	WatchRetry time.Duration `ini:"watch_retry"`
@@ -248,6 +253,28 @@
 	return net.JoinHostPort(s.VM.Address, strconv.Itoa(port))
 }
 
+// ReadTime is the part of a bound that remains for reading and applying a change.
+const ReadTime = 100 * time.Millisecond
+
+// GenerationWait returns how long a watch of the generation may wait for a change.
+func (p PlatformSettings) GenerationWait() time.Duration {
+	return p.watchWait(p.GenerationBound)
+}
+
+// ListWait returns how long a watch of the list of VMs may wait for a change.
+func (p PlatformSettings) ListWait() time.Duration {
+	return p.watchWait(p.ListBound)
+}
+
+// watchWait returns the wait with which two watches fit into the bound, so that one of
+// them can fail silently. Shorter waits would only cost more calls.
+func (p PlatformSettings) watchWait(bound time.Duration) time.Duration {
+	if bound == 0 {
+		return p.WatchWait
+	}
+	return (bound - ReadTime) / 2
+}
+
 // RegionByZone returns the region of each availability zone in Regions. Malformed
 // entries are skipped.
 func (p PlatformSettings) RegionByZone() map[string]string {
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -161,11 +161,10 @@
 	accountsRead    map[ident.Incarnation]bool
 	loggedEndpoints map[string]endpointFlags
 	announced       announcedGeneration
-	// maintainedAt is the time of the last tick that ran the work due at each
-	// QuotaInterval.
-	maintainedAt time.Time
-	// refilledAt is the time of the last Tick of the quota manager.
-	refilledAt time.Time
+	// maintained is the QuotaInterval in which the work due at each of them ran last.
+	maintained schedule
+	// refilled is the interval in which the quota manager's Tick ran last.
+	refilled schedule
 	// evicted is set before OnEvicted is called.
 	evicted bool
 }
@@ -227,6 +226,8 @@
 		durableWaiters: make(map[int64]chan<- error),
 		recoveries:     make(map[RecoveryKey]*quota.Recovery),
 		accountsRead:   make(map[ident.Incarnation]bool),
+		maintained:     newSchedule(self.Incarnation, now),
+		refilled:       newSchedule(self.Incarnation, now),
 	}
 	state.Quota.VM = self.VM
 	state.Quota.Window = settings.Quota.Window
@@ -250,10 +251,9 @@
 	state.dropRetainedVMs(now)
 	state.JournalBuffer.Tick(now)
 	state.applyJournalEffects()
-	if now.Sub(state.maintainedAt) < QuotaInterval {
+	if !state.maintained.due(now, QuotaInterval) {
 		return
 	}
-	state.maintainedAt = now
 	state.requestGeneration()
 	state.refillQuota(now)
 	state.Membership.Tick(now)
