quota, router: One home for small budgets; derive from members once a tick

And each message about a member or an endpoint derived all that depends on the members again: 0.9 ms and 2.2 ms among 195 routers.

Change: a budget of which a holder's share is smaller than four requests has a home, the direct holder with the highest hash; the others ask it. Gossip marks the members as outdated, and the next tick derives the rest; a changed list derives targets only if routers changed.

--- a/fleet/connection/membership/membership.go
+++ b/fleet/connection/membership/membership.go
@@ -19,6 +19,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"jacinthpaddle.example/fleet/connection/peer"
@@ -76,13 +77,17 @@
 	m.publish()
 }
 
-// SetVMList replaces the platform's list of VMs that run routers. The function returns
-// the peer address of a VM.
-func (m *Manager) SetVMList(list []vm.VM, peerAddress func(vm.VM) string) {
+// SetVMList replaces the platform's list of VMs that run routers, and reports whether it
+// has changed. The function returns the peer address of a VM.
+func (m *Manager) SetVMList(list []vm.VM, peerAddress func(vm.VM) string) bool {
+	if m.peerAddress != nil && slices.Equal(list, m.list) {
+		return false
+	}
 	m.view.SetVMList(list)
 	m.list = list
 	m.peerAddress = peerAddress
 	m.updateTargets()
+	return true
 }
 
 // HandleMessage applies a heartbeat or gossip to the view and sends the reply, if there is
--- a/fleet/process/quota/allocation.go
+++ b/fleet/process/quota/allocation.go
@@ -161,6 +161,15 @@
 	a.SpendingHolders = view.SpendingHolders
 }
 
+// knownRemaining returns what the account had left to grant when it was last read. All
+// purchased credits count as remaining until then.
+func (a *Allocation) knownRemaining() int64 {
+	if a.Remaining == unknownRemaining {
+		return a.Purchased
+	}
+	return a.Remaining
+}
+
 // Unacknowledged returns the credits granted above the ceiling. It returns 0 once the
 // holder gave up its quota or the record was closed, since the ceiling can no longer
 // rise then.
--- a/fleet/process/quota/ceiling.go
+++ b/fleet/process/quota/ceiling.go
@@ -101,7 +101,7 @@
 	if allocation.Closing || allocation.RecordClosed {
 		return allocation.Ceiling
 	}
-	exposure := m.Sizing.Exposure(m.sizingInput(allocation))
+	exposure := m.Sizing.Exposure(m.sizing(allocation))
 	available := allocation.Balance.Level().Available
 	shortfall := allocation.pendingTransfers()
 	if available < max(allocation.Search.Need, (exposure+1)/2) {
--- a/fleet/process/quota/cluster_test.go
+++ b/fleet/process/quota/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,7 +75,9 @@
 // in flight.
 type cluster struct {
 	// supplied reports that the first running node is the supplier of all others.
-	supplied  bool
+	supplied bool
+	// homes reports that all running nodes can be the home of the budget.
+	homes     bool
 	now       time.Time
 	purchased int64
 	version   int
@@ -85,7 +88,7 @@
 }
 
 func newCluster(nodes int, purchased int64, policy quota.SizingPolicy) *cluster {
-	c := &cluster{now: time.Unix(0, 0), purchased: purchased, supplied: policy == policies["supplied"]}
+	c := &cluster{now: time.Unix(0, 0), purchased: purchased, supplied: policy == policies["supplied"], homes: policy == policies["homes"]}
 	for range nodes {
 		c.add(policy)
 	}
@@ -121,6 +124,10 @@
 		if c.supplied {
 			n.manager.SetSupply(c.supply(n))
 		}
+		if c.homes {
+			homes := append(slices.Clone(peers), n.id)
+			n.manager.SetSupply(quota.Supply{Supplies: true, DirectHolders: len(homes), Homes: homes})
+		}
 	}
 }
 
--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -105,6 +105,9 @@
 	// DirectHolders is the number of direct holders of the fleet, suppliers included.
 	// They share what remains of a budget.
 	DirectHolders int
+	// Homes lists the processes of a large fleet, this one included, that may be the home
+	// of a budget: the only supplier of a budget that is too small to be shared.
+	Homes []ident.Incarnation
 }
 
 // SetSupply sets from whom this holder refills and whether it supplies others.
@@ -226,7 +229,7 @@
 	for _, budget := range budgets {
 		allocation := m.Allocations[budget]
 		allocation.Demand.Observe(m.demandTotal(allocation), now)
-		batched = batched || m.Sizing.GrantAmount(m.sizingInput(allocation)) > 0
+		batched = batched || m.Sizing.GrantAmount(m.sizing(allocation)) > 0
 	}
 	m.Batched = batched
 	defer func() { m.Batched = false }()
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -102,7 +102,7 @@
 		From:       m.Self,
 		To:         peer,
 		Need:       need,
-		ShareLimit: m.Sizing.Exposure(m.sizingInput(allocation)),
+		ShareLimit: m.Sizing.Exposure(m.sizing(allocation)),
 		Demand:     allocation.Demand.Rate,
 	}}}
 }
@@ -113,6 +113,9 @@
 	if !m.supplied(allocation) {
 		return "", false
 	}
+	if m.concentrated(allocation) {
+		return m.home(allocation.Budget)
+	}
 	return m.supplier()
 }
 
@@ -121,9 +124,41 @@
 // requests grants only for waiting requests: in a partition all holders of a large fleet
 // would otherwise request their shares at the same time.
 func (m *Manager[S]) supplied(allocation *Allocation) bool {
+	if m.concentrated(allocation) {
+		home, ok := m.home(allocation.Budget)
+		return ok && home != m.Self
+	}
 	return len(m.Supply.Suppliers) > 0 && !allocation.hasSteadyDemand()
 }
 
+// concentrated reports whether the budget has a home: the share of a direct holder would
+// be too small for MinRequests requests, so that nearly each request would need a grant
+// from the store, and most credits would lie where no request comes.
+func (m *Manager[S]) concentrated(allocation *Allocation) bool {
+	if len(m.Supply.Homes) == 0 || m.Sizing.UsesWitnesses() || allocation.MeanRequest == 0 {
+		return false
+	}
+	share := m.Sizing.MaxFraction(m.sizingInput(allocation, m.sharingHolders(allocation)))
+	return share*float64(allocation.knownRemaining()) < MinRequests*allocation.MeanRequest
+}
+
+// home returns the home of the budget: the reachable process of Supply.Homes with the
+// highest hash together with the budget, so that all processes agree on it and the others
+// keep their homes when one leaves. It returns false if none is reachable.
+func (m *Manager[S]) home(budget string) (ident.Incarnation, bool) {
+	var chosen ident.Incarnation
+	var highest uint64
+	for _, candidate := range m.Supply.Homes {
+		if candidate != m.Self && !slices.Contains(m.Peers, candidate) {
+			continue
+		}
+		if hash := xxhash.Sum64String(budget + "/" + string(candidate)); chosen == "" || hash > highest {
+			chosen, highest = candidate, hash
+		}
+	}
+	return chosen, chosen != ""
+}
+
 // supplier returns the peer from which this holder refills. The holders of one
 // availability zone are spread over its suppliers by a hash.
 func (m *Manager[S]) supplier() (ident.Incarnation, bool) {
@@ -204,7 +239,7 @@
 	}
 	allocation.UpdatePending = true
 	latest := allocation.latestWitnesses()
-	input := m.sizingInput(allocation)
+	input := m.sizing(allocation)
 	return Actions{GrantRequests: []account.GrantRequest{{
 		Budget:       allocation.Budget,
 		Holder:       m.Self,
@@ -229,7 +264,7 @@
 		return Actions{}
 	}
 	if !m.supplied(allocation) && !allocation.StoreUnavailable {
-		surplus := m.Sizing.Surplus(m.sizingInput(allocation))
+		surplus := m.Sizing.Surplus(m.sizing(allocation))
 		allocation.Refunded += allocation.Balance.Take(surplus)
 	}
 	if allocation.Refunded <= allocation.RefundStored {
@@ -253,7 +288,7 @@
 	if allocation.Remaining == 0 && (m.neededCredits(allocation) == 0 || now.Sub(allocation.ReadAt) < EmptyAccountDelay) {
 		return 0
 	}
-	input := m.sizingInput(allocation)
+	input := m.sizing(allocation)
 	if m.supplied(allocation) {
 		return max(0, input.Need-input.Held)
 	}
@@ -264,7 +299,17 @@
 	return amount
 }
 
-// holderCount returns how many processes share what remains of the account:
+// holderCount returns how many processes share what remains of the account: the home
+// alone if the budget has one, else sharingHolders.
+func (m *Manager[S]) holderCount(allocation *Allocation) int {
+	if m.concentrated(allocation) {
+		return 1
+	}
+	return m.sharingHolders(allocation)
+}
+
+// sharingHolders returns how many processes share what remains of the account of a
+// budget without a home:
 //
 //   - For a policy without witnesses, the direct holders or the holders that spend,
 //     whichever are more.
@@ -272,7 +317,7 @@
 //     else all open holders of the account.
 //
 // While DirectHolders is not set, a policy without witnesses uses the second rule.
-func (m *Manager[S]) holderCount(allocation *Allocation) int {
+func (m *Manager[S]) sharingHolders(allocation *Allocation) int {
 	switch {
 	case !m.Sizing.UsesWitnesses() && m.Supply.DirectHolders > 0:
 		return max(m.Supply.DirectHolders, allocation.SpendingHolders+1)
@@ -292,13 +337,14 @@
 	return allocation.Search.Need
 }
 
-// sizingInput returns the input of the sizing policy. All purchased credits count as
-// remaining until the account is read.
-func (m *Manager[S]) sizingInput(allocation *Allocation) SizingInput {
-	remaining := allocation.Remaining
-	if remaining == unknownRemaining {
-		remaining = allocation.Purchased
-	}
+// sizing returns the input of the sizing policy.
+func (m *Manager[S]) sizing(allocation *Allocation) SizingInput {
+	return m.sizingInput(allocation, m.holderCount(allocation))
+}
+
+// sizingInput returns the input of the sizing policy for the number of processes that
+// share the account.
+func (m *Manager[S]) sizingInput(allocation *Allocation, holders int) SizingInput {
 	return SizingInput{
 		Demand:      allocation.Demand.Rate,
 		Observed:    allocation.Demand.UpdatedAt.Sub(allocation.Demand.StartedAt),
@@ -308,8 +354,8 @@
 		Held:        allocation.Held(),
 		Granted:     allocation.Granted,
 		Purchased:   allocation.Purchased,
-		Remaining:   remaining,
-		Holders:     m.holderCount(allocation),
+		Remaining:   allocation.knownRemaining(),
+		Holders:     holders,
 		Batched:     m.Batched,
 	}
 }
--- a/fleet/process/quota/transfer.go
+++ b/fleet/process/quota/transfer.go
@@ -58,6 +58,7 @@
 		return Actions{}
 	}
 	allocation := m.Allocation(message.Budget)
+	allocation.observeRequest(message.Need)
 	amount := m.transferAmount(allocation, message)
 	taken := allocation.Balance.Take(amount)
 	transfers := allocation.Transfers[message.From]
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -95,7 +95,7 @@
 	switch {
 	case state.Membership.HandleMessage(m.Message, now):
 		if m.Message.Gossip != nil {
-			state.membersChanged()
+			state.membersOutdated = true
 		}
 	case m.Message.Generation != nil:
 		state.handleGeneration(from, *m.Message.Generation)
@@ -167,11 +167,13 @@
 	size := runningVMs(members)
 	preferred := preferredRouters(members)
 	watching := watchesStore(preferred, self, size)
-	s.Quota.SetPeers(s.reachablePeers(members))
+	reachable := s.reachablePeers(members)
+	s.Quota.SetPeers(reachable)
 	s.Quota.SetSupply(s.supply(preferred, self, size))
 	s.JournalBuffer.SetFlushInterval(scaledInterval(s.Settings.Journal.FlushInterval, size, RoutersPerFlushInterval))
-	s.JournalBuffer.SetPeers(s.Clock.Now(), s.replicaPeers(members))
+	s.JournalBuffer.SetPeers(s.Clock.Now(), s.replicaPeers(reachable))
 	s.applyJournalEffects()
+	s.membersOutdated = false
 	s.resizeRetries(s.Quota.Supply.DirectHolders, size, contains(preferred[self.Locality], self))
 	s.Members.Store(&members)
 	s.WatchesStore.Store(watching)
@@ -275,6 +277,11 @@
 	if size <= SmallFleetSize {
 		return supply
 	}
+	for _, zone := range preferred {
+		for _, router := range zone {
+			supply.Homes = append(supply.Homes, router.Incarnation)
+		}
+	}
 	supply.Supplies = contains(preferred[self.Locality], self)
 	if supply.Supplies {
 		return supply
@@ -327,11 +334,11 @@
 	return incarnations
 }
 
-// replicaPeers returns the peers that may hold copies of the journal: live ones with a
-// direct link, since a copy must be acknowledged before a request continues.
-func (s *State) replicaPeers(members []member.Member) []ident.Incarnation {
+// replicaPeers returns the reachable peers that may hold copies of the journal: live ones
+// with a direct link, since a copy must be acknowledged before a request continues.
+func (s *State) replicaPeers(reachable []ident.Incarnation) []ident.Incarnation {
 	var linked []ident.Incarnation
-	for _, incarnation := range s.reachablePeers(members) {
+	for _, incarnation := range reachable {
 		peer, _ := s.view().Member(incarnation)
 		if s.Linked[incarnation] && peer.State == member.Live {
 			linked = append(linked, incarnation)
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -167,6 +167,10 @@
 	accountsRead    map[ident.Incarnation]bool
 	loggedEndpoints map[string]endpointFlags
 	announced       announcedGeneration
+	// membersOutdated is set by gossip until membersChanged runs. A process that starts
+	// receives many messages, and deriving all that depends on the members costs about a
+	// millisecond in a large fleet.
+	membersOutdated bool
 	// maintained is the QuotaInterval in which the work due at each of them ran last.
 	maintained schedule
 	// refilled is the interval in which the quota manager's Tick ran last.
@@ -256,6 +260,9 @@
 // Apply implements control.Message.
 func (Tick) Apply(state *State) {
 	now := state.Clock.Now()
+	if state.membersOutdated {
+		state.membersChanged()
+	}
 	state.serveAllWaiters()
 	state.dropRetainedVMs(now)
 	state.JournalBuffer.Tick(now)
--- a/router/process/node/vm_list.go
+++ b/router/process/node/vm_list.go
@@ -79,10 +79,13 @@
 	}
 	s.vmList = list
 	entryVMs := vm.InPool(list.VMs, s.Settings.Fleet.EntryPool)
-	s.Membership.SetVMList(entryVMs, s.Settings.peerAddress)
-	s.updateEndpoints()
-	s.membersChanged()
 	message.Delta = vm.Diff(previous, list)
+	if message.Recovered || len(message.Changed)+len(message.Removed) > 0 {
+		s.updateEndpoints()
+	}
+	if s.Membership.SetVMList(entryVMs, s.Settings.peerAddress) {
+		s.membersChanged()
+	}
 	s.relayVMList(message)
 	if message.Recovered {
 		s.Quota.HandleStoreRecovery()
--- a/router/process/node/vm_list_test.go
+++ b/router/process/node/vm_list_test.go
@@ -200,3 +200,53 @@
 	policy.WatchesStore.Store(true)
 	check("while watching the store", true)
 }
+
+// targetsIO counts how often the targets of the hub were derived.
+type targetsIO struct {
+	discardIO
+	derived int
+}
+
+func (o *targetsIO) SetTargets([]member.Member) { o.derived++ }
+
+// TestChangesAreDerivedOnce counts what a process derives from its members while endpoints
+// change and gossip arrives. Deriving all of it for each message took 2.2 ms for a change
+// of the list and 0.9 ms for gossip among 195 routers, and days of that fleet more than
+// 600 s of processor time.
+func TestChangesAreDerivedOnce(t *testing.T) {
+	fake := clock.NewFake()
+	members, list := largeFleet(195)
+	out := &targetsIO{}
+	state := node.NewState(members[0], node.DefaultSettings(), nil, fake, event.NewLog(io.Discard, logrus.ErrorLevel), out)
+	state.OnEvicted = func() {}
+	node.VMListRead{List: vm.List{Version: 5, VMs: list}}.Apply(state)
+	join(state, members)
+	fake.Advance(node.QuotaInterval)
+	node.Tick{}.Apply(state)
+
+	derived, published := out.derived, state.Members.Load()
+	for number := range 20 {
+		added := vm.Delta{Base: int64(5 + number), Version: int64(6 + number), Changed: []vm.VM{engineVM(fmt.Sprint("e", number))}}
+		node.PeerMessage{Message: peer.Message{From: members[1].Incarnation, VMList: &peer.VMList{Delta: added}}}.Apply(state)
+		changed := members[50]
+		changed.Sequence = int64(2 + number)
+		gossip := peer.Message{From: members[1].Incarnation, Gossip: &member.Gossip{Changed: []member.Member{changed}}}
+		node.PeerMessage{Message: gossip}.Apply(state)
+	}
+	if got := out.derived - derived; got != 0 {
+		t.Errorf("targets derived for changes of endpoints: got %d times, want 0", got)
+	}
+	if state.Members.Load() != published {
+		t.Error("members published before the next tick")
+	}
+	fake.Advance(node.TickInterval)
+	node.Tick{}.Apply(state)
+	if state.Members.Load() == published {
+		t.Error("members after the tick: got the old ones, want those with the gossip")
+	}
+	routers := vm.Delta{Base: 25, Version: 26, Changed: []vm.VM{{Name: "entry-new", Address: "10.9.0.1", Pool: "entry", State: vm.Live}}}
+	node.PeerMessage{Message: peer.Message{From: members[1].Incarnation, VMList: &peer.VMList{Delta: routers}}}.Apply(state)
+	if got := out.derived - derived; got == 0 {
+		t.Error("targets after a new router: got the old ones, want new ones")
+	}
+}
