--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -131,34 +131,6 @@
 	return len(m.Supply.Suppliers) > 0 && !allocation.hasSteadyDemand()
 }
 
-// concentrated reports whether the budget has a home: the share of a direct holder would
-// be too small for MinRequests requests, so that nearly each request would need a grant
-// from the store, and most credits would lie where no request comes.
-func (m *Manager[S]) concentrated(allocation *Allocation) bool {
-	if len(m.Supply.Homes) == 0 || m.Sizing.UsesWitnesses() || allocation.MeanRequest == 0 {
-		return false
-	}
-	share := m.Sizing.MaxFraction(m.sizingInput(allocation, m.sharingHolders(allocation)))
-	return share*float64(allocation.knownRemaining()) < MinRequests*allocation.MeanRequest
-}
-
-// home returns the home of the budget: the reachable process of Supply.Homes with the
-// highest hash together with the budget, so that all processes agree on it and the others
-// keep their homes when one leaves. It returns false if none is reachable.
-func (m *Manager[S]) home(budget string) (ident.Incarnation, bool) {
-	var chosen ident.Incarnation
-	var highest uint64
-	for _, candidate := range m.Supply.Homes {
-		if candidate != m.Self && !slices.Contains(m.Peers, candidate) {
-			continue
-		}
-		if hash := xxhash.Sum64String(budget + "/" + string(candidate)); chosen == "" || hash > highest {
-			chosen, highest = candidate, hash
-		}
-	}
-	return chosen, chosen != ""
-}
-
 // supplier returns the peer from which this holder refills. The holders of one
 // availability zone are spread over its suppliers by a hash.
 func (m *Manager[S]) supplier() (ident.Incarnation, bool) {
@@ -337,15 +309,6 @@
 	return allocation.Search.Need
 }
 
-// meanRequest returns the size of requests for which a holder of a large fleet keeps room.
-// In a small fleet the share of a holder covers them, and more would only be lost with it.
-func (m *Manager[S]) meanRequest(allocation *Allocation) float64 {
-	if len(m.Supply.Homes) == 0 {
-		return 0
-	}
-	return allocation.MeanRequest
-}
-
 // sizing returns the input of the sizing policy.
 func (m *Manager[S]) sizing(allocation *Allocation) SizingInput {
 	return m.sizingInput(allocation, m.holderCount(allocation))
--- a/fleet/request/serve/events.go
+++ b/fleet/request/serve/events.go
@@ -63,7 +63,7 @@
 	result.Delivered = e.started
 	result.Charge = e.charge(plan)
 	result.Response.InputTokens = plan.Floor
-	result.Response.OutputTokens = result.Charge - plan.Floor
+	result.Response.OutputTokens = max(0, result.Charge-plan.Floor)
 	return result
 }
 
@@ -153,12 +153,13 @@
 }
 
 // dropDelivered removes the leading events that were delivered by an earlier attempt,
-// records the last id and counts the remaining events.
+// records the last id and counts the remaining events, without comments.
 func (e *EventStream) dropDelivered(events []byte) []byte {
 	kept := events
 	for rest := events; len(rest) > 0; {
 		size := firstEventSize(rest)
-		id := eventID(rest[:size])
+		event := rest[:size]
+		id := eventID(event)
 		rest = rest[size:]
 		if id != "" && !follows(id, e.lastEventID) {
 			kept = rest
@@ -167,7 +168,9 @@
 		if id != "" {
 			e.lastEventID = id
 		}
-		e.delivered++
+		if containsEvent(event) {
+			e.delivered++
+		}
 	}
 	return kept
 }
--- a/fleet/request/serve/stall_test.go
+++ b/fleet/request/serve/stall_test.go
@@ -63,7 +63,9 @@
 	defer response.Body.Close()
 	sink := &discard{}
 	relayed := make(chan serve.RelayResult, 1)
-	go func() { relayed <- relay.Relay(t.Context(), admission.Plan{MaxOutput: 1000}, response, sink) }()
+	go func() {
+		relayed <- relay.Relay(t.Context(), admission.Plan{MaxOutput: 1000, Reserve: 1000, TokensPerEvent: 4}, response, sink)
+	}()
 	defer close(pieces)
 	for second := 1; second <= seconds; second++ {
 		select {
@@ -138,6 +140,9 @@
 	if want := 7; got > want {
 		t.Errorf("stalled after: got %d s, want at most %d s", got, want)
 	}
+	if got, want := result.Charge, int64(4); got != want {
+		t.Errorf("charge for one event and comments: got %d, want %d", got, want)
+	}
 	var failed *outcome.Error
 	if !errors.As(result.Err, &failed) || failed.Code != outcome.TimedOut {
 		t.Errorf("error: got %v, want timed out", result.Err)
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 
 	"jacinthpaddle.example/fleet/connection/peer"
-	"jacinthpaddle.example/fleet/process/account"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/ident"
@@ -31,19 +30,6 @@
 	thread  *Thread
 }
 
-// readLayout reads the layout of the accounts until that succeeds.
-func (w *ioWorker) readLayout(proposed account.Layout, retry time.Duration, log *event.Log) {
-	for w.ctx.Err() == nil {
-		layout, err := account.ReadLayout(w.ctx, w.objects, proposed)
-		if err == nil {
-			w.thread.Send(LayoutRead{Layout: layout})
-			return
-		}
-		log.Emit(event.LayoutFailed, event.Cause(err))
-		sleep(w.ctx, w.pages.Clock, retry)
-	}
-}
-
 // UpdatePage implements AsyncIO.
 func (w *ioWorker) UpdatePage(update PageUpdate) {
 	go func() {
