quota, account: Correct the comment on homes, format an error directly

Cause: reading the change once more. Supply.Homes was said to include the process itself, which is so only for direct holders; LayoutError built an error to take its text. Change: the comment, and fmt.Sprintf; the text is the same. Checked: go vet of both packages, tests and staticcheck of account.

--- a/fleet/process/account/layout.go
+++ b/fleet/process/account/layout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 
 	"github.com/juju/errors"
 
@@ -37,7 +38,7 @@
 
 // Error implements error.
 func (e *LayoutError) Error() string {
-	return errors.Errorf("%s: pages: must be from 1 to %d, not %d", LayoutName, PageCount, e.Pages).Error()
+	return fmt.Sprintf("%s: pages: must be from 1 to %d, not %d", LayoutName, PageCount, e.Pages)
 }
 
 // ReadLayout returns the stored layout. If there is none, it stores and returns the one
--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -108,8 +108,8 @@
 	// DirectHolders is the number of direct holders of the fleet, suppliers included.
 	// They share what remains of a budget.
 	DirectHolders int
-	// Homes lists the processes of a large fleet, this one included, that may be the home
-	// of a budget: the only supplier of a budget that is too small to be shared.
+	// Homes lists the direct holders of a large fleet. Each may be the home of a budget:
+	// the only supplier of a budget that is too small to be shared.
 	Homes []ident.Incarnation
 }
 
