account, quota: Record the credits that are lost with failed processes

Change: a holder records what it has used with each grant and refund, the account sums up what was written off beyond it, and event 4006 shows that sum as lost. No decision depends on it yet.

--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -55,6 +55,9 @@
 	Granted int64 `json:"granted"`
 	// Returned is the total that the holder returned.
 	Returned int64 `json:"returned,omitempty"`
+	// Used is how many credits had left the holder for good at its last update: those it
+	// had spent and sent to peers, less those received from them.
+	Used int64 `json:"used,omitempty"`
 	// Closed reports that the record accepts no more updates.
 	Closed bool `json:"closed,omitempty"`
 	// VM is where the holder runs. A VM runs one router, so that a later holder on the
@@ -76,6 +79,9 @@
 	// records were dropped. It is negative if they returned more than they were
 	// granted.
 	Retired int64 `json:"retired"`
+	// Lost is the part of Retired that was written off with failed holders although they
+	// were not known to have used it.
+	Lost int64 `json:"lost,omitempty"`
 }
 
 // Page is the content of one object: the accounts of many budgets by name.
@@ -134,6 +140,8 @@
 	OtherDemand float64
 	// SpendingHolders is how many of them have any demand.
 	SpendingHolders int
+	// Lost is how many credits of the account were written off with failed holders.
+	Lost int64
 }
 
 // View returns the account of the budget for the holder.
@@ -144,6 +152,7 @@
 		Found:     found,
 		Record:    record,
 		Remaining: max(0, purchased-state.Outstanding()),
+		Lost:      state.Lost,
 	}
 	for other, record := range state.Holders {
 		if other != holder && !record.Closed {
@@ -184,6 +193,8 @@
 	MaxFraction float64
 	// Demand is the demand of the holder in credits a second.
 	Demand float64
+	// Used is the total that Holder.Used records.
+	Used int64
 	// Epoch is the number of the witness set to record.
 	Epoch     int64
 	Witnesses []ident.Incarnation
@@ -204,8 +215,8 @@
 }
 
 // Grant raises the granted total of the holder towards the target, keeps the account
-// within purchased, and reports whether the page changed. The demand is updated too,
-// but that alone does not count as a change. A holder whose record is closed or
+// within purchased, and reports whether the page changed. The demand and the used credits
+// are updated too, but that alone does not count as a change. A holder whose record is closed or
 // compacted is granted nothing.
 func (p Page) Grant(request GrantRequest, purchased int64) bool {
 	state := p.account(request.Budget)
@@ -216,7 +227,7 @@
 	changed := !found
 	if !found {
 		record.VM = request.VM
-		state.closePredecessors(request)
+		state.Lost += state.closePredecessors(request)
 	}
 	granted := request.increase(record.Granted, purchased-state.Outstanding())
 	if granted > 0 {
@@ -229,24 +240,34 @@
 		changed = true
 	}
 	record.Demand = math.Round(request.Demand)
+	record.Used = request.Used
 	state.Holders[request.Holder] = record
 	p.Accounts[request.Budget] = state
 	return changed
 }
 
-// closePredecessors closes the records of earlier holders on the VM of a new one.
-// Records without witnesses are written off, since their holders may have spent the
-// whole grant. Records with witnesses are left to a reclaim.
-func (a Account) closePredecessors(request GrantRequest) {
+// closePredecessors closes the records of earlier holders on the VM of a new one and
+// returns how many credits were lost with them. Records without witnesses are written
+// off, since their holders may have spent the whole grant. Records with witnesses are
+// left to a reclaim.
+func (a Account) closePredecessors(request GrantRequest) int64 {
 	if request.VM == "" {
-		return
+		return 0
 	}
+	var lost int64
 	for holder, record := range a.Holders {
 		if holder != request.Holder && record.VM == request.VM && len(record.Witnesses) == 0 {
 			record.Closed = true
 			a.Holders[holder] = record
+			lost += record.unused()
 		}
 	}
+	return lost
+}
+
+// unused returns the credits that the holder has and is not known to have used.
+func (h Holder) unused() int64 {
+	return h.Granted - h.Returned - h.Used
 }
 
 // Return closes the record of a holder that has removed its unspent credits from its
@@ -276,6 +297,8 @@
 	// Total is the new total of returned credits.
 	Total  int64
 	Demand float64
+	// Used is the total that Holder.Used records.
+	Used int64
 }
 
 // Refund raises the returned total of an open holder and reports whether the page
@@ -288,6 +311,7 @@
 	}
 	record.Returned = request.Total
 	record.Demand = math.Round(request.Demand)
+	record.Used = request.Used
 	holders[request.Holder] = record
 	return true
 }
@@ -330,7 +354,14 @@
 // WriteOff closes the record of a failed holder whose quota cannot be reclaimed. All
 // of its grant counts as spent.
 func (p Page) WriteOff(budget string, holder ident.Incarnation) bool {
-	return p.closeRecord(budget, holder, 0)
+	state := p.Accounts[budget]
+	lost := state.Holders[holder].unused()
+	if !p.closeRecord(budget, holder, 0) {
+		return false
+	}
+	state.Lost += lost
+	p.Accounts[budget] = state
+	return true
 }
 
 // Compact drops closed records and adds their granted less returned credits to
--- a/fleet/process/account/refund_test.go
+++ b/fleet/process/account/refund_test.go
@@ -59,3 +59,30 @@
 		t.Errorf("outstanding: got %d, want %d: what the predecessor held counts as spent", got, want)
 	}
 }
+
+// Credits that failed holders had not used could not be told from those they had.
+func TestLostCreditsOfFailedHolders(t *testing.T) {
+	page := newPage(t)
+	for _, request := range []account.GrantRequest{
+		{Holder: "old", VM: "vm-1", Target: 300, Used: 120},
+		{Holder: "failed", VM: "vm-2", Target: 200, Used: 50},
+		{Holder: "leaving", VM: "vm-3", Target: 100},
+	} {
+		request.Budget = budget
+		page.Grant(request, purchased)
+	}
+	page.Refund(account.Refund{Budget: budget, Holder: "failed", Total: 20, Used: 70})
+	page.Return(account.Return{Budget: budget, Holder: "leaving", Granted: 100, Returned: 40})
+	page.Grant(account.GrantRequest{Budget: budget, Holder: "new", VM: "vm-1"}, purchased)
+	if !page.WriteOff(budget, "failed") || page.WriteOff(budget, "failed") {
+		t.Error("write-off: got no change at first or one at the repetition")
+	}
+	page.Compact()
+	const want = (300 - 120) + (200 - 20 - 70)
+	if got := page.View(budget, "new", purchased).Lost; got != want {
+		t.Errorf("lost: got %d, want %d", got, want)
+	}
+	if got, want := page.Accounts[budget].Outstanding(), int64(300+180+60); got != want {
+		t.Errorf("outstanding: got %d, want %d", got, want)
+	}
+}
--- a/fleet/process/quota/allocation.go
+++ b/fleet/process/quota/allocation.go
@@ -75,6 +75,8 @@
 	OtherDemand float64 `json:"other_demand"`
 	// SpendingHolders is the number of other holders with any demand.
 	SpendingHolders int `json:"spending"`
+	// Lost is how many credits of the account were written off with failed holders.
+	Lost int64 `json:"lost"`
 	// Returned is the total that the final return of a closing holder reports to the
 	// store.
 	Returned int64 `json:"returned"`
@@ -159,6 +161,7 @@
 	a.OtherHolders = view.OtherHolders
 	a.OtherDemand = view.OtherDemand
 	a.SpendingHolders = view.SpendingHolders
+	a.Lost = view.Lost
 }
 
 // knownRemaining returns what the account had left to grant when it was last read. All
@@ -186,6 +189,16 @@
 	return a.Balance.Level().Available + a.Unacknowledged()
 }
 
+// used returns the credits that left this holder for good: those spent and sent to peers,
+// less those received from them.
+func (a *Allocation) used() int64 {
+	used := a.Balance.Level().Spent
+	for _, transfers := range a.Transfers {
+		used += transfers.SentTotal - transfers.ReceivedTotal
+	}
+	return used
+}
+
 // permittedCeiling returns the highest ceiling that at least one witness of each set
 // that may be in the store has acknowledged.
 func (a *Allocation) permittedCeiling() int64 {
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -222,6 +222,7 @@
 		Minimum:      m.neededCredits(allocation),
 		MaxFraction:  m.Sizing.MaxFraction(input),
 		Demand:       input.Demand,
+		Used:         allocation.used(),
 		Epoch:        latest.Epoch,
 		Witnesses:    latest.Witnesses,
 	}}}
@@ -248,6 +249,7 @@
 		Holder: m.Self,
 		Total:  allocation.Refunded,
 		Demand: allocation.Demand.Rate,
+		Used:   allocation.used(),
 	}}}
 }
 
--- a/router/process/node/quota.go
+++ b/router/process/node/quota.go
@@ -342,7 +342,7 @@
 	s.Log.Emit(event.QuotaGranted, event.String("budget", budget), event.Int("purchased", allocation.Purchased),
 		event.Int("granted", allocation.Granted), event.Int("held", level.Available),
 		event.Int("reserved", level.Reserved), event.Int("spent", level.Spent),
-		event.Int("refunded", allocation.Refunded), event.Int("remaining", allocation.Remaining),
+		event.Int("refunded", allocation.Refunded), event.Int("remaining", allocation.Remaining), event.Int("lost", allocation.Lost),
 		event.Int("demand_per_second", int64(allocation.Demand.Rate)))
 }
 
