quota, account: Bound the credits that are lost with failed processes

Cause: what a process holds counts as spent when it ends, and all processes together held 60 for each 100 left, so that each loss of all took a third of what was left. Successors that had not read the account sized their first grant by what was purchased. Class: a reserve against one failure (a partition) that another failure (a loss of all) turns into a loss, without a bound on the sum. Evidence: of 9.2 million credits 7.9 million were written off; while requests were refused no process held any. Ruled out: credits stuck in small shares.

--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -191,6 +191,10 @@
 	// account has left, or to Minimum if that is more: other holders may have been
 	// granted credits since the holder read the account.
 	MaxFraction float64
+	// MaxUnused, unless it is zero, bounds the increase to what keeps the credits that
+	// all holders have and are not known to have used at that many, or to Minimum if that
+	// is more.
+	MaxUnused int64
 	// Demand is the demand of the holder in credits a second.
 	Demand float64
 	// Used is the total that Holder.Used records.
@@ -201,9 +205,9 @@
 }
 
 // increase returns how many credits to add to the granted total of the record when the
-// account has the given number left. A request with a MaxFraction that already took
-// effect adds nothing.
-func (r GrantRequest) increase(granted, left int64) int64 {
+// account has the given number left, and its holders the given number unused. A request
+// with a MaxFraction that already took effect adds nothing.
+func (r GrantRequest) increase(granted, left, unused int64) int64 {
 	increase := min(r.Target-granted, left)
 	if r.MaxFraction == 0 {
 		return increase
@@ -211,6 +215,9 @@
 	if granted > r.KnownGranted {
 		return 0
 	}
+	if r.MaxUnused > 0 {
+		increase = min(increase, max(r.Minimum, r.MaxUnused-unused))
+	}
 	return min(increase, max(r.Minimum, int64(r.MaxFraction*float64(left))))
 }
 
@@ -229,7 +236,7 @@
 		record.VM = request.VM
 		state.Lost += state.closePredecessors(request)
 	}
-	granted := request.increase(record.Granted, purchased-state.Outstanding())
+	granted := request.increase(record.Granted, purchased-state.Outstanding(), state.unused())
 	if granted > 0 {
 		record.Granted += granted
 		changed = true
@@ -265,6 +272,15 @@
 	return lost
 }
 
+// unused returns the credits that all holders have and are not known to have used.
+func (a Account) unused() int64 {
+	var unused int64
+	for _, record := range a.Holders {
+		unused += record.unused()
+	}
+	return unused
+}
+
 // unused returns the credits that the holder has and is not known to have used.
 func (h Holder) unused() int64 {
 	return h.Granted - h.Returned - h.Used
--- a/fleet/process/account/account_test.go
+++ b/fleet/process/account/account_test.go
@@ -37,6 +37,8 @@
 		{"none left", []account.GrantRequest{{Holder: "b", Target: 2_000}}, account.GrantRequest{Target: 1}, 0},
 		{"bounded to a fraction", []account.GrantRequest{{Holder: "b", Target: 200}}, account.GrantRequest{Target: 700, MaxFraction: 0.5}, 400},
 		{"fraction below the minimum", []account.GrantRequest{{Holder: "b", Target: 900}}, account.GrantRequest{Target: 700, Minimum: 80, MaxFraction: 0.5}, 80},
+		{"bounded by what others have unused", []account.GrantRequest{{Holder: "b", Target: 400, Used: 100}}, account.GrantRequest{Target: 500, MaxFraction: 1, MaxUnused: 450}, 150},
+		{"bounded below the minimum", []account.GrantRequest{{Holder: "b", Target: 400}}, account.GrantRequest{Target: 500, Minimum: 80, MaxFraction: 1, MaxUnused: 200}, 80},
 		{"bounded and repeated", []account.GrantRequest{{Target: 700, MaxFraction: 0.5}}, account.GrantRequest{Target: 700, MaxFraction: 0.5}, 500},
 		{"lower target", []account.GrantRequest{{Target: 400}}, account.GrantRequest{Target: 100}, 400},
 	}
--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -131,6 +131,12 @@
 	}
 }
 
+// Unread reports whether the account of the budget was not read since the start or the
+// last purchase.
+func (m *Manager[S]) Unread(budget string) bool {
+	return m.Allocation(budget).Remaining == unknownRemaining
+}
+
 // Request registers how many credits all waiting requests need together, or zero if
 // none wait. It is called when that sum changes and repeatedly while any wait.
 // Searching then reports whether to keep them waiting. During the search back-off no
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -221,6 +221,7 @@
 		Target:       allocation.Granted + amount,
 		Minimum:      m.neededCredits(allocation),
 		MaxFraction:  m.Sizing.MaxFraction(input),
+		MaxUnused:    m.Sizing.MaxUnused(input),
 		Demand:       input.Demand,
 		Used:         allocation.used(),
 		Epoch:        latest.Epoch,
@@ -329,6 +330,8 @@
 		Granted:     allocation.Granted,
 		Purchased:   allocation.Purchased,
 		Remaining:   allocation.knownRemaining(),
+		Unread:      allocation.Remaining == unknownRemaining,
+		Lost:        allocation.Lost,
 		Holders:     holders,
 		Batched:     m.Batched,
 	}
--- a/fleet/process/quota/sizing.go
+++ b/fleet/process/quota/sizing.go
@@ -26,8 +26,13 @@
 	Granted int64
 	// Purchased is the total of the budget in the active configuration.
 	Purchased int64
-	// Remaining is what the account had left to grant when it was last read.
+	// Remaining is what the account had left to grant when it was last read, or Purchased
+	// if Unread.
 	Remaining int64
+	// Unread reports that the account was not read since the start or the last purchase.
+	Unread bool
+	// Lost is how many credits were written off with failed holders.
+	Lost int64
 	// Holders is the number of processes that share what remains.
 	Holders int
 	// Batched reports that a grant for any budget is requested at the same time.
@@ -44,6 +49,9 @@
 	// MaxFraction returns the largest fraction of what the account has left that one
 	// grant may take, or 0 for no bound.
 	MaxFraction(SizingInput) float64
+	// MaxUnused returns how many credits all holders may have unused together when one of
+	// them is granted more, or 0 for no bound.
+	MaxUnused(SizingInput) int64
 	// Surplus returns how many credits to refund to the store now.
 	Surplus(SizingInput) int64
 	// AllowsTransfers reports whether holders transfer credits to each other.
@@ -82,6 +90,11 @@
 	return 0
 }
 
+// MaxUnused implements SizingPolicy.
+func (EvenSplit) MaxUnused(SizingInput) int64 {
+	return 0
+}
+
 // Surplus implements SizingPolicy.
 func (EvenSplit) Surplus(SizingInput) int64 {
 	return 0
@@ -120,6 +133,11 @@
 	return 0
 }
 
+// MaxUnused implements SizingPolicy.
+func (DemandHorizon) MaxUnused(SizingInput) int64 {
+	return 0
+}
+
 // Surplus implements SizingPolicy.
 func (DemandHorizon) Surplus(SizingInput) int64 {
 	return 0
@@ -185,6 +203,11 @@
 	return d.Share / float64(max(1, d.Holders))
 }
 
+// MaxUnused implements SizingPolicy.
+func (DemandShrinking) MaxUnused(SizingInput) int64 {
+	return 0
+}
+
 // Surplus implements SizingPolicy. Unacknowledged credits can be reclaimed if the
 // holder crashes, so that nothing is refunded.
 func (DemandShrinking) Surplus(SizingInput) int64 {
--- a/fleet/process/quota/spread.go
+++ b/fleet/process/quota/spread.go
@@ -11,6 +11,10 @@
 // the rest. A lower factor would make it request a grant again soon after a refund.
 const SurplusFactor = 1.5
 
+// UnusedFactor is the multiple of what all holders are to keep that they may have unused
+// according to the account, whose records of used credits lag behind.
+const UnusedFactor = 2
+
 // EvenWeight is the fraction of a budget that is spread evenly over its holders; the
 // rest is spread by demand. The even part serves holders that had no demand before a
 // partition and have some during it.
@@ -31,13 +35,14 @@
 // MinHorizon is the time for which a holder keeps credits for its recent demand even
 // if its share of a nearly used up budget is lower. With less it would query the store
 // for each request.
-const MinHorizon = 2 * time.Second
+const MinHorizon = 500 * time.Millisecond
 
 // DemandSpread distributes a part of what remains of a budget over its holders before
 // it is needed, since a partition makes the store and the peers unavailable at the
 // same time and no credits can be obtained then. Credits that are held are lost if the
 // holder crashes, so that the rest stays in the store: all holders together keep about
-// Share times what the store keeps.
+// Share times what the store keeps, and less once the account has lost credits with failed
+// holders.
 //
 // A holder keeps enough credits for the recent demand to continue for the Horizon,
 // within its share.
@@ -50,10 +55,18 @@
 	// Refill is the fraction of the target below which a grant is requested to reach
 	// it again, or 0 for the default.
 	Refill float64
+	// MaxLoss bounds the reserves that an account may lose with failed holders, as a
+	// fraction of what was purchased, or is 0 for no bound.
+	MaxLoss float64
 }
 
-// GrantAmount implements SizingPolicy.
+// GrantAmount implements SizingPolicy. From an account that was not read yet it takes only
+// what requests need: after the loss of many processes little may be left, and the share
+// of this one is not known.
 func (d DemandSpread) GrantAmount(input SizingInput) int64 {
+	if input.Unread {
+		return input.Need - input.Held
+	}
 	threshold := d.Refill
 	if input.Batched {
 		threshold = max(threshold, BatchedRefillFraction)
@@ -68,7 +81,20 @@
 
 // MaxFraction implements SizingPolicy.
 func (d DemandSpread) MaxFraction(input SizingInput) float64 {
-	return d.Share * d.shareWeight(input)
+	if input.Remaining <= 0 {
+		return d.Share * d.shareWeight(input)
+	}
+	kept := max(d.kept(input)*d.shareWeight(input), input.Demand*MinHorizon.Seconds())
+	return kept / float64(input.Remaining)
+}
+
+// MaxUnused implements SizingPolicy. The shares of holders that know little of each other
+// add up to more than what all of them are to keep.
+func (d DemandSpread) MaxUnused(input SizingInput) int64 {
+	if d.MaxLoss == 0 {
+		return 0
+	}
+	return max(1, int64(UnusedFactor*d.kept(input)))
 }
 
 // Surplus implements SizingPolicy. Credits beyond the target are more useful at other
@@ -104,7 +130,20 @@
 
 // share returns the most that this holder keeps of what remains.
 func (d DemandSpread) share(input SizingInput) int64 {
-	return int64(d.MaxFraction(input) * float64(input.Remaining))
+	return int64(d.kept(input) * d.shareWeight(input))
+}
+
+// kept returns how many credits all holders keep together. It decreases with the square of
+// what is left of the allowance for losses: the loss of one holder costs the others little
+// of their reserves, the loss of all of them most.
+func (d DemandSpread) kept(input SizingInput) float64 {
+	kept := d.Share * float64(input.Remaining)
+	if d.MaxLoss == 0 {
+		return kept
+	}
+	allowance := d.MaxLoss * float64(input.Purchased)
+	left := max(0, allowance-float64(input.Lost))
+	return min(kept, left*left/max(1, allowance))
 }
 
 // shareWeight returns the fraction of what all holders keep together that this holder
--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -88,6 +88,7 @@
 	check.within(int64(s.Limits.MaxConcurrent), 1, 1<<20, "limits", "max_concurrent")
 	check.within(int64(s.Quota.Holders), 1, 64, "rights", "holders")
 	check.within(int64(s.Quota.SharePercent), 1, 100*int64(s.Quota.Holders), "rights", "share_percent")
+	check.within(int64(s.Quota.LossPercent), 0, 100, "rights", "loss_percent")
 	check.within(int64(s.Journal.Copies), 0, 4, "journal", "copies")
 	check.require(s.Journal.Copies > 0 || !s.Journal.Wait, "journal", "copies", "must not be zero while requests wait for them")
 	check.within(int64(s.Quota.RefillPercent), 1, 100, "rights", "refill_percent")
--- a/router/process/node/quota.go
+++ b/router/process/node/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -56,8 +57,8 @@
 	s.serveAllWaiters()
 }
 
-// prefetchQuota adds an allocation of every budget before its first use, so that the quota
-// manager requests grants for it. It does so from PrefetchDelay after the start, if there
+// prefetchQuota adds an allocation of every budget before its first use, and reads its
+// account, so that the quota manager requests grants for it. It does so from PrefetchDelay after the start, if there
 // are at most MaxPrefetchedBudgets budgets, the sizing policy uses no witnesses and this
 // process has no supplier. Without a prefetch, a
 // process that is partitioned from the store before the first use of a budget has no
@@ -70,6 +71,18 @@
 	}
 	for _, budget := range budgets {
 		s.ensureAllocation(budget.Name)
+		if s.Quota.Unread(budget.Name) {
+			s.readAccount(budget.Name)
+		}
+	}
+	s.startAllUpdates()
+}
+
+// readAccount adds a read of the account to the next update of its page.
+func (s *State) readAccount(budget string) {
+	page := s.page(budget)
+	if !slices.Contains(page.pending.Reads, budget) {
+		page.pending.Reads = append(page.pending.Reads, budget)
 	}
 }
 
@@ -326,10 +339,13 @@
 }
 
 // observeAccounts passes the other accounts of the page to the quota manager, which were
-// read along with those of the update.
+// read along with those of the update. An account of which a read was requested need not
+// exist yet.
 func (s *State) observeAccounts(m PageUpdated, now time.Time) {
 	updated := m.Update.ownBudgets()
-	for budget := range m.Page.Accounts {
+	observed := slices.AppendSeq(slices.Clone(m.Update.Reads), maps.Keys(m.Page.Accounts))
+	slices.Sort(observed)
+	for _, budget := range slices.Compact(observed) {
 		if s.hasAllocation(budget) && !slices.Contains(updated, budget) {
 			s.Quota.ObserveAccount(budget, m.Page.View(budget, s.Self, s.purchased(budget)), now)
 		}
--- a/router/process/node/recovery.go
+++ b/router/process/node/recovery.go
@@ -47,8 +47,7 @@
 		}
 		s.accountsRead[process.Incarnation] = true
 		for _, budget := range s.Witness.Budgets(process.Incarnation) {
-			page := s.page(budget)
-			page.pending.Reads = append(page.pending.Reads, budget)
+			s.readAccount(budget)
 		}
 	}
 	s.startAllUpdates()
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -137,6 +137,9 @@
 	// equal part of the remaining credits of the budget. Without it, SharePercent is the
 	// quota that all holders together keep, in percent of the credits left in the store.
 	SharePercent int `ini:"share_percent"`
+	// LossPercent bounds, without Witnessed, the quota that may be lost with failed
+	// processes, in percent of the purchased credits of the budget. Zero is no bound.
+	LossPercent int `ini:"loss_percent"`
 	// RefillPercent is the percentage of the target quota below which a grant is
 	// requested.
 	RefillPercent int `ini:"refill_percent"`
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -192,7 +192,13 @@
 func newSizingPolicy(settings QuotaSettings) quota.SizingPolicy {
 	share, refill := float64(settings.SharePercent)/100, float64(settings.RefillPercent)/100
 	if !settings.Witnessed {
-		return quota.DemandSpread{Horizon: settings.Horizon, Share: share, Holders: settings.Holders, Refill: refill}
+		return quota.DemandSpread{
+			Horizon: settings.Horizon,
+			Share:   share,
+			Holders: settings.Holders,
+			Refill:  refill,
+			MaxLoss: float64(settings.LossPercent) / 100,
+		}
 	}
 	return quota.DemandShrinking{
 		Horizon: settings.Horizon,
