quarantine, serve, node: Refuse prompts under which endpoints crash

Cause: nothing related a crash to what the runner had been given. Such requests fail after the head of the response and before its first event; each comes to another router, and a retry brings down a second runner. Class: failures that follow the request, not the endpoint, handled as failures of the endpoint. Change: attempts whose connection breaks before the response begins make the shared parts of their prompt suspects; a response that begins clears them. Routers exchange both, at once and when a link opens. A part with three requests and three crashes at two endpoints is quarantined: 503, not run, Retry-After. A suspect that failed elsewhere is not retried. Parts that failed at the same endpoints are refused only together, so that sound prompts with one of them show which is the cause. Failures are forgotten after 2 min; all is bounded. Ruled out: crashes by load (none without the part).

--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -10,6 +10,7 @@
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/process/member"
+	"jacinthpaddle.example/fleet/process/quarantine"
 	"jacinthpaddle.example/fleet/process/quota"
 	"jacinthpaddle.example/fleet/process/vm"
 )
@@ -35,6 +36,7 @@
 
 	Generation *Generation `cbor:"generation,omitempty"`
 	VMList     *VMList     `cbor:"list,omitempty"`
+	Prompts    *Prompts    `cbor:"prompts,omitempty"`
 
 	Transfer        *quota.Transfer        `cbor:"transfer,omitempty"`
 	TransferAck     *quota.TransferAck     `cbor:"receipt,omitempty"`
@@ -73,6 +75,12 @@
 	Reading int64             `cbor:"reading,omitempty"`
 }
 
+// Prompts carries failed requests, and parts of prompts under which a response has begun.
+type Prompts struct {
+	Failures []quarantine.Failure `cbor:"failures,omitempty"`
+	Cleared  []quarantine.Part    `cbor:"cleared,omitempty"`
+}
+
 // Hello is the first message on a link. It carries the sender's own record and the digest
 // of its view.
 type Hello struct {
--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -55,6 +55,8 @@
 	EndpointEjected     = Kind{7001, "endpoint ejected", logrus.WarnLevel}
 	EndpointLeaving     = Kind{7002, "endpoint leaving", logrus.InfoLevel}
 	FrameDropped        = Kind{7003, "frame of another attempt dropped", logrus.WarnLevel}
+	PartQuarantined     = Kind{7004, "prompt part quarantined", logrus.WarnLevel}
+	PartReleased        = Kind{7005, "prompt part released", logrus.InfoLevel}
 	RequestFailed       = Kind{8001, "request failed", logrus.InfoLevel}
 	ClaimFailed         = Kind{8002, "claim of an idempotency key not written", logrus.WarnLevel}
 	ForwardFailed       = Kind{8003, "request not forwarded to the holder of its key", logrus.WarnLevel}
@@ -74,7 +76,7 @@
 		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed,
 		JournalFailed, JournalRecovered, JournalFull,
 		PeerUp, PeerDown,
-		EndpointEjected, EndpointLeaving, FrameDropped,
+		EndpointEjected, EndpointLeaving, FrameDropped, PartQuarantined, PartReleased,
 		RequestFailed, ClaimFailed, ForwardFailed, RunPanicked, RequestRefused, RequestServed, AttemptFailed,
 	}
 }
--- a/fleet/request/outcome/outcome.go
+++ b/fleet/request/outcome/outcome.go
@@ -43,6 +43,8 @@
 	Overloaded Code = "overloaded"
 	// NoEndpoint means that no endpoint of the pool accepts the request.
 	NoEndpoint Code = "no_endpoint"
+	// Quarantined means that endpoints crash under a part of the prompt.
+	Quarantined Code = "quarantined"
 	// NoRecord means that the router cannot write or read a record that the request
 	// needs, such as its journal entry.
 	NoRecord Code = "no_record"
@@ -108,7 +110,7 @@
 		return http.StatusTooManyRequests
 	case Conflict:
 		return http.StatusConflict
-	case NoEndpoint, NoRecord:
+	case NoEndpoint, NoRecord, Quarantined:
 		return http.StatusServiceUnavailable
 	case TimedOut:
 		return http.StatusGatewayTimeout
--- a/fleet/request/retry/retry.go
+++ b/fleet/request/retry/retry.go
@@ -49,6 +49,8 @@
 	// AttemptsExhausted means that MaxAttempts or MaxStarted is reached.
 	AttemptsExhausted Reason = "attempts_exhausted"
 	DeadlinePassed    Reason = "deadline"
+	// SuspectPrompt means that several endpoints failed with a part of the prompt.
+	SuspectPrompt Reason = "suspect_prompt"
 	// BudgetEmpty means that the retry Budget is empty. Decide does not return it.
 	BudgetEmpty Reason = "retry_budget"
 )
@@ -77,6 +79,9 @@
 	MaxStarted int
 	// Deadline is the deadline of the request. Zero is none.
 	Deadline time.Time
+	// Suspect is true if other endpoints failed with a part of the prompt before, so that
+	// the request may bring down one more.
+	Suspect bool
 }
 
 // Decision is what to do after a failed attempt.
@@ -130,6 +135,8 @@
 	switch {
 	case failure.Forwarded:
 		return ResponseForwarded
+	case failure.Suspect:
+		return SuspectPrompt
 	case !failure.Idempotent && run != journal.NotRun:
 		return MayHaveRun
 	case failure.Attempts >= p.MaxAttempts:
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -27,6 +28,8 @@
 	reportedRun journal.RunStatus
 	// delivered is RelayResult.Delivered of the attempt.
 	delivered bool
+	// suspect is true if this endpoint and others before failed with a part of the prompt.
+	suspect bool
 }
 
 // CallerDisconnectedError means that the response could not be written to the
@@ -116,6 +119,7 @@
 		Started:     state.startedAttempts,
 		MaxStarted:  state.job.Plan.MaxStarted,
 		Deadline:    deadline,
+		Suspect:     failure.suspect,
 	}, r.Clock.Now())
 	state.run = decision.Run
 	state.startedAttempts = decision.Started
@@ -148,7 +152,7 @@
 	response, err := chosen.Do(ctx, call)
 	if err != nil {
 		r.release(job, chosen, balancer.Classify(nil, err))
-		return RelayResult{Err: err}, attemptFailure{phase: phaseOf(err)}
+		return RelayResult{Err: err}, attemptFailure{phase: phaseOf(err), suspect: r.reportCrash(job, chosen, err)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	failed := attemptFailure{phase: endpoint.AfterHeaders, reportedRun: response.Run}
@@ -156,13 +160,20 @@
 		r.release(job, chosen, classifyUnrelayed(response, err))
 		return RelayResult{Err: err, ErrorResponse: readErrorResponse(job, response, err)}, failed
 	}
-	result := job.Relay.Relay(ctx, job.Plan, response, &startObserver{Sink: sink, onData: responseStarted})
+	begun := sync.OnceFunc(func() {
+		responseStarted()
+		r.reportBegun(job)
+	})
+	result := job.Relay.Relay(ctx, job.Plan, response, &startObserver{Sink: sink, onData: begun})
 	r.release(job, chosen, classifyRelayed(response, result.Err))
 	failed.delivered = result.Delivered
 	if result.Err != nil {
 		failed.phase = phaseOf(result.Err)
 		failed.reportedRun = reportedRunOf(result.Err, response.Run)
 	}
+	if !result.Delivered {
+		failed.suspect = r.reportCrash(job, chosen, result.Err)
+	}
 	return result, failed
 }
 
--- a/fleet/request/serve/serve.go
+++ b/fleet/request/serve/serve.go
@@ -23,6 +23,7 @@
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/process/meter"
+	"jacinthpaddle.example/fleet/process/quarantine"
 	"jacinthpaddle.example/fleet/process/quota"
 	"jacinthpaddle.example/fleet/process/random"
 	"jacinthpaddle.example/fleet/request/admission"
@@ -48,6 +49,17 @@
 	Close(ctx context.Context, entry journal.Entry) error
 }
 
+// PromptMonitor knows the parts of prompts under which endpoints crash. Its methods return
+// at once.
+type PromptMonitor interface {
+	View() *quarantine.View
+	// ReportFailure reports a request whose connection broke before its response had
+	// begun.
+	ReportFailure(failure quarantine.Failure)
+	// ReportBegun reports suspects under which a response has begun.
+	ReportBegun(parts []quarantine.Part)
+}
+
 // Sink delivers the response to the caller. An error means that the caller's
 // connection failed.
 type Sink interface {
@@ -114,6 +126,8 @@
 	PromptTokens int64
 	// PrefixTokens is the number of tokens of the prompt prefix, or zero if it is not known.
 	PrefixTokens int64
+	// Parts are the parts of the prompt prefix.
+	Parts []quarantine.Part
 	// Call is the request to send. Each attempt sends a copy with its own AttemptInfo.
 	Call endpoint.Call
 	// Relay reads the responses of all attempts.
@@ -147,14 +161,19 @@
 	Endpoints     *endpoint.Table
 	Slots         *Slots
 	Picker        *balancer.Picker
-	RetryPolicy   retry.Policy
-	RetryBudgets  *retry.Budgets
-	Limits        Limits
+	// Prompts is nil if prompts have no known parts.
+	Prompts      PromptMonitor
+	RetryPolicy  retry.Policy
+	RetryBudgets *retry.Budgets
+	Limits       Limits
 }
 
 // Run executes the request. Its error is an *outcome.Error, or the sink's error if the
 // caller disconnected.
 func (r *Runner) Run(ctx context.Context, job Job, sink Sink) error {
+	if err := r.checkPrompt(job); err != nil {
+		return err
+	}
 	sink = &startObserver{Sink: sink, onData: r.firstByteRecorder()}
 	if !job.Plan.Idempotent && !job.Plan.CancelOnDisconnect {
 		// Work that must not be repeated continues after its caller disconnected.
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -55,6 +55,7 @@
 	state.Log.Emit(event.PeerUp, event.String("peer", m.Remote), event.String("vm", m.Hello.Member.VM))
 	state.membersChanged()
 	state.announceGeneration(m.Remote)
+	state.sendKnownPrompts(m.Remote)
 }
 
 // LinkDown reports that the last link to a peer was closed.
@@ -101,6 +102,8 @@
 		state.handleGeneration(from, *m.Message.Generation)
 	case m.Message.VMList != nil:
 		state.handleVMList(from, *m.Message.VMList)
+	case m.Message.Prompts != nil:
+		PromptsObserved{Failures: m.Message.Prompts.Failures, Cleared: m.Message.Prompts.Cleared}.Apply(state)
 	default:
 		if !m.handleJournal(state, from) {
 			m.handleQuota(state, now)
--- /dev/null
+++ b/router/process/node/prompts.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"jacinthpaddle.example/fleet/connection/peer"
+	"jacinthpaddle.example/fleet/process/event"
+	"jacinthpaddle.example/fleet/process/ident"
+	"jacinthpaddle.example/fleet/process/quarantine"
+)
+
+// MaxFailuresPerMessage bounds the failures in one message to a peer, so that it fits into
+// a frame.
+const MaxFailuresPerMessage = 500
+
+// PromptMonitor implements serve.PromptMonitor and is safe for concurrent use.
+type PromptMonitor struct {
+	thread *Thread
+	view   *atomic.Pointer[quarantine.View]
+}
+
+// NewPromptMonitor returns a monitor that reads the view and reports to the control thread.
+func NewPromptMonitor(thread *Thread, view *atomic.Pointer[quarantine.View]) *PromptMonitor {
+	return &PromptMonitor{thread: thread, view: view}
+}
+
+// View implements serve.PromptMonitor.
+func (m *PromptMonitor) View() *quarantine.View {
+	return m.view.Load()
+}
+
+// ReportFailure implements serve.PromptMonitor.
+func (m *PromptMonitor) ReportFailure(failure quarantine.Failure) {
+	m.thread.Send(PromptsObserved{Failures: []quarantine.Failure{failure}})
+}
+
+// ReportBegun implements serve.PromptMonitor.
+func (m *PromptMonitor) ReportBegun(parts []quarantine.Part) {
+	m.thread.Send(PromptsObserved{Cleared: parts})
+}
+
+// PromptsObserved has failed requests, and parts of prompts under which a response has
+// begun. They were observed here or by a peer.
+type PromptsObserved struct {
+	Failures []quarantine.Failure
+	Cleared  []quarantine.Part
+}
+
+// Apply implements control.Message. What was not known yet is sent to the peers with the
+// next Tick.
+func (m PromptsObserved) Apply(state *State) {
+	now := state.Clock.Now()
+	pending := &state.pendingPrompts
+	changed := false
+	for _, failure := range m.Failures {
+		if state.Prompts.Add(failure, now) {
+			pending.Failures = append(pending.Failures, failure)
+			changed = true
+		}
+	}
+	for _, part := range m.Cleared {
+		if state.Prompts.Clear(part) {
+			pending.Cleared = append(pending.Cleared, part)
+			changed = true
+		}
+	}
+	if changed {
+		state.publishPrompts()
+	}
+}
+
+// publishPrompts publishes the view of the suspects for traffic, and logs which parts are
+// quarantined since the last one and which are not any more.
+func (s *State) publishPrompts() {
+	before, view := s.PromptView.Load(), s.Prompts.View()
+	s.PromptView.Store(view)
+	for _, part := range slices.Sorted(maps.Keys(view.Groups)) {
+		if _, found := before.Groups[part]; !found {
+			s.Log.Emit(event.PartQuarantined, event.String("part", part), event.Int("crashes", len(view.Endpoints[part])))
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(before.Groups)) {
+		if _, found := view.Groups[part]; !found {
+			s.Log.Emit(event.PartReleased, event.String("part", part))
+		}
+	}
+}
+
+// sendPrompts sends the pending observations to all linked peers, which pass on what they
+// did not know.
+func (s *State) sendPrompts() {
+	pending := s.pendingPrompts
+	s.pendingPrompts = PromptsObserved{}
+	for to := range s.Linked {
+		s.sendPromptsTo(to, pending)
+	}
+}
+
+// sendKnownPrompts sends all failures that count to a peer.
+func (s *State) sendKnownPrompts(to ident.Incarnation) {
+	s.sendPromptsTo(to, PromptsObserved{Failures: s.Prompts.Failures(s.Clock.Now())})
+}
+
+func (s *State) sendPromptsTo(to ident.Incarnation, observed PromptsObserved) {
+	for failures := range slices.Chunk(observed.Failures, MaxFailuresPerMessage) {
+		s.send(to, peer.Message{Prompts: &peer.Prompts{Failures: failures}})
+	}
+	if len(observed.Cleared) > 0 {
+		s.send(to, peer.Message{Prompts: &peer.Prompts{Cleared: observed.Cleared}})
+	}
+}
+
+// forgetPrompts drops the failures that are too old to count.
+func (s *State) forgetPrompts(now time.Time) {
+	if s.Prompts.Expire(now) {
+		s.publishPrompts()
+	}
+}
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -14,6 +14,7 @@
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/process/member"
+	"jacinthpaddle.example/fleet/process/quarantine"
 	"jacinthpaddle.example/fleet/process/quota"
 	"jacinthpaddle.example/fleet/process/store"
 	"jacinthpaddle.example/fleet/process/vm"
@@ -140,11 +141,17 @@
 	// Retries has the retry budgets. The control thread configures them and the goroutines
 	// of requests use them.
 	Retries *retry.Budgets
+	// Prompts has the parts of prompts under which endpoints may crash. PromptView is a
+	// snapshot of it, written by the control thread and read by the goroutines of requests.
+	Prompts    *quarantine.Tracker
+	PromptView *atomic.Pointer[quarantine.View]
 	// Endpoints is updated by the control thread and read by the goroutines of requests.
 	Endpoints      *endpoint.Table
 	EndpointConfig endpoint.Config
 
-	vmList vm.List
+	// pendingPrompts has the observations that were not sent to the peers yet.
+	pendingPrompts PromptsObserved
+	vmList         vm.List
 	// retainedVMs are missing from vmList and stay in use until retainUntil.
 	retainedVMs []vm.VM
 	retainUntil time.Time
@@ -235,6 +242,8 @@
 		ListReceivedAt: &atomic.Pointer[time.Time]{},
 		Members:        &atomic.Pointer[[]member.Member]{},
 		Retries:        retry.NewBudgets(retry.BudgetDefaults(), clk),
+		Prompts:        quarantine.New(quarantine.Defaults()),
+		PromptView:     &atomic.Pointer[quarantine.View]{},
 		Endpoints:      endpoint.NewTable(endpointConfig, clk),
 		EndpointConfig: endpointConfig,
 		readings:       make(map[ident.Incarnation]int64),
@@ -251,6 +260,7 @@
 	state.Quota.VM = self.VM
 	state.Quota.Window = settings.Quota.Window
 	state.WatchesStore.Store(true)
+	state.PromptView.Store(state.Prompts.View())
 	state.resizeRetries(1, 1, true)
 	return state
 }
@@ -273,6 +283,7 @@
 	state.dropRetainedVMs(now)
 	state.JournalBuffer.Tick(now)
 	state.applyJournalEffects()
+	state.sendPrompts()
 	if !state.maintained.due(now, QuotaInterval, state.isLargeFleet()) {
 		return
 	}
@@ -281,6 +292,7 @@
 	state.Membership.Tick(now)
 	state.membersChanged()
 	state.forgetReadings()
+	state.forgetPrompts(now)
 	state.recoverFailedProcesses()
 	state.logEndpointChanges()
 	state.checkEviction()
--- a/router/process/node/wire.go
+++ b/router/process/node/wire.go
@@ -30,6 +30,7 @@
 		Endpoints:     n.state.Endpoints,
 		Slots:         serve.NewSlots(n.Clock, n.state.Endpoints, n.Settings.Limits.MaxQueueWait),
 		Picker:        balancer.New(balancer.Defaults(n.Settings.Locality()), random.New()),
+		Prompts:       NewPromptMonitor(n.thread, n.state.PromptView),
 		RetryPolicy:   retry.Defaults(),
 		RetryBudgets:  n.state.Retries,
 		Limits: serve.Limits{
