runner, serve: Accept a refusal only for the attempt that it names

Report of other operators: a faulty runner wrote an earlier refusal once more on a kept connection, and clients were told that requests had not run which had (REFUSED), or such requests ran twice (TWICE).

--- a/fleet/connection/endpoint/client.go
+++ b/fleet/connection/endpoint/client.go
@@ -92,6 +92,10 @@
 	// Attempt is added to the header by the dialect.
 	Attempt AttemptInfo
 	Limits  Limits
+	// OwnConnection sends the request on a connection of its own. A call with the id of an
+	// earlier attempt at the endpoint needs it: on a kept connection a late copy of the
+	// earlier response would be taken for its own.
+	OwnConnection bool
 }
 
 // Response is the response of an endpoint. Its body must be closed.
@@ -133,6 +137,8 @@
 	clock     clock.Clock
 	dialect   Dialect
 	transport *http.Transport
+	// ownConnections opens a connection for each request.
+	ownConnections *http.Transport
 }
 
 // NewClient returns a client for an address in the form host:port.
@@ -159,7 +165,15 @@
 		IdleConnTimeout:        config.IdleTimeout,
 		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
-	return &Client{address: address, clock: clk, dialect: config.dialect(), transport: transport}
+	ownConnections := transport.Clone()
+	ownConnections.DisableKeepAlives = true
+	return &Client{
+		address:        address,
+		clock:          clk,
+		dialect:        config.dialect(),
+		transport:      transport,
+		ownConnections: ownConnections,
+	}
 }
 
 // CloseIdle closes the connections that are not in use.
@@ -180,7 +194,11 @@
 	}
 	inactivity := newInactivityTimer(c.clock, cancel)
 	inactivity.start(call.Limits.Header)
-	response, err := c.transport.RoundTrip(request)
+	transport := c.transport
+	if call.OwnConnection {
+		transport = c.ownConnections
+	}
+	response, err := transport.RoundTrip(request)
 	inactivity.stop()
 	if err != nil {
 		phase := traced.closeConnections()
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,8 +80,9 @@
 		if err != nil {
 			return r.failedResult(state, err)
 		}
+		repeated := slices.Contains(state.attempted, chosen)
 		state.attempted = append(state.attempted, chosen)
-		result, failure := r.attempt(ctx, job, chosen, sink)
+		result, failure := r.attempt(ctx, job, chosen, repeated, sink)
 		if result.Err == nil {
 			r.logServed(state, result)
 			return result
@@ -142,11 +144,13 @@
 	}
 }
 
-// attempt sends the request to the endpoint once and relays the response.
-func (r *Runner) attempt(ctx context.Context, job Job, chosen *endpoint.State, sink Sink) (RelayResult, attemptFailure) {
+// attempt sends the request to the endpoint once and relays the response. repeated is true
+// if the endpoint got the request before.
+func (r *Runner) attempt(ctx context.Context, job Job, chosen *endpoint.State, repeated bool, sink Sink) (RelayResult, attemptFailure) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	call := r.newCall(ctx, job, chosen)
+	call.OwnConnection = repeated
 	responseStarted := chosen.TrackPending(job.PromptTokens)
 	defer responseStarted()
 	response, err := chosen.Do(ctx, call)
@@ -157,6 +161,13 @@
 	defer func() { _ = response.Body.Close() }()
 	failed := attemptFailure{phase: endpoint.AfterHeaders, reportedRun: response.Run}
 	if err := r.checkResponse(response, call.Attempt); err != nil {
+		var wrongAttempt *WrongAttemptError
+		if errors.As(err, &wrongAttempt) {
+			// What the response reports is about another request, and its own response is
+			// still to come on the connection.
+			failed.reportedRun = ""
+			defer chosen.Client.CloseIdle()
+		}
 		r.release(job, chosen, classifyUnrelayed(response, err))
 		return RelayResult{Err: err, ErrorResponse: readErrorResponse(job, response, err)}, failed
 	}
