serve: Treat a stream without a length and without an event as broken off

A response may come with neither a length nor chunks and end with its connection. A runner that crashed before the first event of such a stream left an empty response that looked complete, also where it was to continue a stream. Change: such a stream is complete only if the attempt delivered an event. TestStreamThatEndsWithItsConnection failed before (empty stream, no error).

--- a/fleet/request/serve/events.go
+++ b/fleet/request/serve/events.go
@@ -81,17 +81,20 @@
 // long as nothing was delivered.
 //
 // Only content counts as progress: an event, or progressBytes more of one. An endpoint
-// that sends nothing but comments or single bytes has stalled.
+// that sends nothing but comments or single bytes has stalled. A response without a length
+// ends with its connection, and counts as broken off if it has no event.
 func (e *EventStream) relayEvents(response *endpoint.Response, sink Sink) error {
 	var pending []byte
 	buffer := make([]byte, eventReadBytes)
 	response.MeasureProgress()
 	progressAt := progressBytes
+	begun := false
 	for {
 		count, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:count]...)
 		complete := completeEventsSize(pending)
 		hasContent := containsEvent(pending[:complete])
+		begun = begun || hasContent
 		if hasContent || len(pending) >= progressAt {
 			response.Progressed()
 			progressAt = len(pending) + progressBytes
@@ -107,7 +110,7 @@
 		}
 		pending = append(pending[:0], pending[complete:]...)
 		switch {
-		case err == io.EOF && len(pending) == 0:
+		case err == io.EOF && len(pending) == 0 && (begun || response.Delimited):
 			return nil
 		case err == io.EOF:
 			return e.interrupted(io.ErrUnexpectedEOF)
--- a/fleet/request/serve/events_test.go
+++ b/fleet/request/serve/events_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -218,3 +219,83 @@
 		})
 	}
 }
+
+// undelimited is a handler that sends a response without a length or chunks, which ends
+// with its connection.
+func undelimited(contents ...string) http.HandlerFunc {
+	var attempts atomic.Int64
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		content := contents[attempts.Add(1)-1]
+		conn, buffered, err := http.NewResponseController(writer).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + content)
+		_ = buffered.Flush()
+		_ = conn.Close()
+	}
+}
+
+// A stream that ends with its connection looked complete when the runner had crashed
+// before its first event.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	tests := []struct {
+		name     string
+		contents []string
+		want     string
+		complete bool
+	}{
+		{"after an event", []string{numbered(1) + numbered(2)}, numbered(1) + numbered(2), true},
+		{"inside an event", []string{numbered(1) + "id: 2\nda", numbered(2)}, numbered(1) + numbered(2), true},
+		{"before the first event", []string{"", numbered(1)}, numbered(1), true},
+		{"never an event", []string{"", ""}, "", false},
+		{"broken off, then no event", []string{numbered(1) + "id: 2\nda", ""}, numbered(1), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			made := newHarness(t, undelimited(test.contents...))
+			made.plan.Streamed, made.plan.Resumable, made.plan.MaxStarted = true, true, 2
+			err := made.run(&serve.EventStream{MaxBytes: 1 << 20})
+			if (err == nil) != test.complete {
+				t.Errorf("run: got %v, want complete %t", err, test.complete)
+			}
+			if got := strings.Join(made.sink.parts, ""); got != test.want {
+				t.Errorf("stream: got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// A stream had begun and broken off, and the next endpoint responded with an error. Clients
+// found its text in their stream, or the stream ended as if it were complete.
+func TestErrorAfterABrokenStreamIsNotDelivered(t *testing.T) {
+	begun := scriptedResponse{http.StatusOK, numbered(1), false}
+	tests := []struct {
+		name string
+		next scriptedResponse
+	}{
+		{"server error", scriptedResponse{http.StatusInternalServerError, "engine failed", true}},
+		{"server error that breaks off", scriptedResponse{http.StatusInternalServerError, "engine fai", false}},
+		{"client error", scriptedResponse{http.StatusBadRequest, "unknown event", true}},
+		{"no content", scriptedResponse{http.StatusNoContent, "", true}},
+		{"stream that breaks off at once", scriptedResponse{http.StatusOK, "", false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			made, _ := newEventHarness(t, begun, test.next)
+			job := serve.Job{
+				Request: "self-1", Plan: made.plan, Relay: &serve.EventStream{MaxBytes: 1 << 20}, ForwardErrorResponses: true,
+				Call: endpoint.Call{Method: http.MethodPost, Path: "/", Header: http.Header{}},
+			}
+			if err := made.runner.Run(t.Context(), job, made.sink); err == nil {
+				t.Error("run: got no error, want the broken stream reported")
+			}
+			if got, want := strings.Join(made.sink.parts, ""), numbered(1); got != want {
+				t.Errorf("stream: got %q, want %q", got, want)
+			}
+			if made.sink.ended {
+				t.Error("end of the stream: got it delivered, want it not")
+			}
+		})
+	}
+}
