endpoint, runner: Send no more requests to runners that announce their leaving

The list lags behind and may show the runner as ready for long. Change: such an endpoint stays excluded until it is started anew, which the list shows by its time of birth; it is remembered for a minute after its entry is gone, since an outage of the store can remove and restore entries.

--- a/fleet/connection/endpoint/dialect.go
+++ b/fleet/connection/endpoint/dialect.go
@@ -36,6 +36,9 @@
 	Attempt ident.Attempt
 	// Leaving is true if the endpoint is leaving its pool or has left it.
 	Leaving bool
+	// Retiring is true if the endpoint itself announces that it leaves for good. Unlike
+	// Leaving, it holds until the endpoint is started anew.
+	Retiring bool
 	// Load is nil if the response reports no load.
 	Load *Load
 }
--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -60,6 +60,9 @@
 	ByList     LeavingSource = "list"
 	ByReport   LeavingSource = "report"
 	ByResponse LeavingSource = "answer"
+	// ByAnnouncement is the endpoint's own announcement in a response that it leaves for
+	// good. Neither the list nor a report makes it usable again.
+	ByAnnouncement LeavingSource = "announcement"
 )
 
 // Leaving is since when an endpoint is not chosen any more, and why.
@@ -165,9 +168,20 @@
 }
 
 // MarkLeaving excludes the endpoint from being chosen. A repeated call restarts the time
-// of Config.LeavingHold.
+// of Config.LeavingHold. An announcement of the endpoint stays.
 func (s *State) MarkLeaving(source LeavingSource, now time.Time) {
-	s.Leaving.Store(&Leaving{Source: source, Since: now})
+	marked := &Leaving{Source: source, Since: now}
+	for {
+		leaving := s.Leaving.Load()
+		if leaving.isFinal() || s.Leaving.CompareAndSwap(leaving, marked) {
+			return
+		}
+	}
+}
+
+// isFinal reports whether the endpoint stays excluded whatever the list says.
+func (l *Leaving) isFinal() bool {
+	return l != nil && l.Source == ByAnnouncement
 }
 
 // ApplyReport stores a load report. A report with state leaving excludes the endpoint. A
@@ -183,7 +197,7 @@
 		return
 	}
 	leaving := s.Leaving.Load()
-	if leaving != nil && report.RequestedAt.After(leaving.Since) {
+	if leaving != nil && !leaving.isFinal() && report.RequestedAt.After(leaving.Since) {
 		s.Leaving.CompareAndSwap(leaving, nil)
 	}
 }
@@ -199,6 +213,9 @@
 	if response.Leaving {
 		s.MarkLeaving(ByResponse, now)
 	}
+	if response.Retiring {
+		s.MarkLeaving(ByAnnouncement, now)
+	}
 	if response.Load != nil {
 		s.ApplyReport(Report{
 			InFlight:   response.Load.Running,
--- a/fleet/connection/endpoint/table.go
+++ b/fleet/connection/endpoint/table.go
@@ -63,11 +63,17 @@
 	}
 }
 
-// key identifies an endpoint. A VM that is listed again with another address is another
-// endpoint.
+// RetiringHold is how long an endpoint that announced that it leaves for good stays known
+// after it was removed from the list of VMs: an outage of the platform can remove and
+// restore an entry.
+const RetiringHold = time.Minute
+
+// key identifies an endpoint. A VM that is listed again with another address or
+// incarnation is another endpoint.
 type key struct {
-	name    string
-	address string
+	name        string
+	address     string
+	incarnation string
 }
 
 // View is a snapshot of the table. It is immutable.
@@ -132,7 +138,7 @@
 		var endpoints []*State
 		for _, machine := range vm.InPool(list, pool.Name) {
 			state := t.stateOf(machine, pool.Port, now, initial)
-			listed[key{machine.Name, state.Address}] = true
+			listed[key{machine.Name, state.Address, machine.Incarnation}] = true
 			if t.applyListedState(state, machine.State, now) {
 				endpoints = append(endpoints, state)
 			}
@@ -152,7 +158,7 @@
 		port = machine.Port
 	}
 	address := net.JoinHostPort(machine.Address, strconv.Itoa(port))
-	id := key{machine.Name, address}
+	id := key{machine.Name, address, machine.Incarnation}
 	if existing, ok := t.entries[id]; ok {
 		existing.unlistedSince = time.Time{}
 		return existing.state
@@ -177,14 +183,14 @@
 		return false
 	}
 	leaving := state.Leaving.Load()
-	if leaving != nil && now.Sub(leaving.Since) >= t.config.LeavingHold {
+	if leaving != nil && !leaving.isFinal() && now.Sub(leaving.Since) >= t.config.LeavingHold {
 		state.Leaving.CompareAndSwap(leaving, nil)
 	}
 	return true
 }
 
 // removeUnlisted marks endpoints that are no longer listed as leaving, and deletes them
-// after Config.LeavingHold.
+// after Config.LeavingHold, or after RetiringHold if they announced that they leave.
 func (t *Table) removeUnlisted(listed map[key]bool, now time.Time) {
 	for id, known := range t.entries {
 		switch {
@@ -192,13 +198,20 @@
 		case known.unlistedSince.IsZero():
 			known.unlistedSince = now
 			known.state.MarkLeaving(ByList, now)
-		case now.Sub(known.unlistedSince) >= t.config.LeavingHold:
+		case now.Sub(known.unlistedSince) >= t.unlistedHold(known.state):
 			delete(t.entries, id)
 			known.state.Client.CloseIdle()
 		}
 	}
 }
 
+func (t *Table) unlistedHold(state *State) time.Duration {
+	if state.Leaving.Load().isFinal() {
+		return max(t.config.LeavingHold, RetiringHold)
+	}
+	return t.config.LeavingHold
+}
+
 // sort orders endpoints by distance, and those at the same distance by tieBreaker.
 func (t *Table) sort(endpoints []*State) {
 	slices.SortFunc(endpoints, func(a, b *State) int {
--- a/fleet/connection/endpoint/table_test.go
+++ b/fleet/connection/endpoint/table_test.go
@@ -122,3 +122,36 @@
 	}
 	return nil
 }
+
+// An endpoint that announced that it leaves for good got requests again once the list, which
+// lags behind, or an earlier report showed it as live.
+func TestRetiringEndpointStaysExcluded(t *testing.T) {
+	live := []vm.VM{machine("m1", hall, vm.Live), machine("m2", hall, vm.Live)}
+	table, clk := newTable()
+	table.Update(live, pools)
+	state := find(table, "m1")
+	state.MarkLeaving(endpoint.ByAnnouncement, clk.Now())
+	clk.Advance(10 * time.Minute)
+	table.Update(live, pools)
+	state.ApplyReport(endpoint.Report{State: vm.Live, RequestedAt: clk.Now(), ReceivedAt: clk.Now()})
+	state.MarkLeaving(endpoint.ByResponse, clk.Now())
+	clk.Advance(10 * time.Minute)
+	table.Update(live, pools)
+	if slices.Contains(usable(table), "m1") {
+		t.Error("listed as live, reported and misdirected since: got usable, want excluded")
+	}
+	// An outage of the platform removes the entry for a while.
+	table.Update(live[1:], pools)
+	clk.Advance(endpoint.RetiringHold - 1)
+	table.Update(live[1:], pools)
+	table.Update(live, pools)
+	if slices.Contains(usable(table), "m1") {
+		t.Error("listed again: got usable, want excluded")
+	}
+	restarted := machine("m1", hall, vm.Live)
+	restarted.Incarnation = "2"
+	table.Update([]vm.VM{restarted, live[1]}, pools)
+	if !slices.Contains(usable(table), "m1") {
+		t.Error("started anew: got excluded, want usable")
+	}
+}
--- a/fleet/process/vm/vm.go
+++ b/fleet/process/vm/vm.go
@@ -38,6 +38,9 @@
 	Pool string `json:"pool"`
 	Locality
 	State State `json:"state"`
+	// Incarnation distinguishes the starts of what runs on a VM that keeps its name and
+	// address. It is empty if the platform does not tell.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // Lister reads the platform's list of VMs, which lags behind their actual state.
