endpoint, balancer: Send nothing to an endpoint before its Retry-After

Change: the endpoint is no candidate until then, not even as a last resort; without another one the request is refused at once. Fractions count; dates, values that are not positive and those of other responses do not; an hour is the most.

--- a/fleet/connection/endpoint/dialect.go
+++ b/fleet/connection/endpoint/dialect.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"jacinthpaddle.example/fleet/process/ident"
@@ -39,6 +41,9 @@
 	// Retiring is true if the endpoint itself announces that it leaves for good. Unlike
 	// Leaving, it holds until the endpoint is started anew.
 	Retiring bool
+	// RetryAfter is how long the endpoint, which refused the request, wants no others from
+	// this process. Zero is no wish.
+	RetryAfter time.Duration
 	// Load is nil if the response reports no load.
 	Load *Load
 }
@@ -75,14 +80,29 @@
 }
 
 // ReadResponse implements Dialect.
-func (NativeDialect) ReadResponse(_ int, header http.Header) ResponseInfo {
+func (NativeDialect) ReadResponse(status int, header http.Header) ResponseInfo {
 	return ResponseInfo{
-		Run:     parseRun(header.Get(RunHeader)),
-		Attempt: ident.Attempt(header.Get(AttemptHeader)),
-		Leaving: header.Get(StateHeader) == string(vm.Leaving),
+		Run:        parseRun(header.Get(RunHeader)),
+		Attempt:    ident.Attempt(header.Get(AttemptHeader)),
+		Leaving:    header.Get(StateHeader) == string(vm.Leaving),
+		RetryAfter: ParseRetryAfter(status, header),
 	}
 }
 
+// MaxRetryAfter bounds the time for which an endpoint can refuse requests in advance.
+const MaxRetryAfter = time.Hour
+
+// ParseRetryAfter returns the value of the header Retry-After in seconds, which may have a
+// fraction, of a response with status 503. It returns zero for any other response and for
+// a value that is missing, not positive, or a date.
+func ParseRetryAfter(status int, header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(header.Get("Retry-After")), 64)
+	if status != http.StatusServiceUnavailable || err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, MaxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // parseRun returns the value of a run header, or the empty string if it is not known.
 func parseRun(value string) journal.RunStatus {
 	switch run := journal.RunStatus(value); run {
--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -89,6 +89,8 @@
 	Report atomic.Pointer[Report]
 	// Leaving is nil while the endpoint may be chosen.
 	Leaving atomic.Pointer[Leaving]
+	// PausedUntil is the end of the time in which the endpoint wants no requests.
+	PausedUntil AtomicTime
 	// MissedPolls is the number of consecutive polls without a report.
 	MissedPolls atomic.Int64
 	// ConsecutiveFailures is the number of failed requests since the last success.
@@ -117,6 +119,7 @@
 	MissedPolls         int64     `json:"missed"`
 	ConsecutiveFailures int64     `json:"failures"`
 	EjectedUntil        time.Time `json:"ejected_until"`
+	PausedUntil         time.Time `json:"paused_until"`
 }
 
 // Usable reports whether no source reported the endpoint as leaving.
@@ -124,6 +127,11 @@
 	return s.Leaving.Load() == nil
 }
 
+// Paused reports whether the endpoint wants no requests now.
+func (s *State) Paused(now time.Time) bool {
+	return now.Before(s.PausedUntil.Load())
+}
+
 // Limit returns how many requests this process may have open at the endpoint: the limit
 // that its pool declares, or OpenPerSlot for each reported slot if that is less. Zero is
 // no limit.
@@ -216,6 +224,9 @@
 	if response.Retiring {
 		s.MarkLeaving(ByAnnouncement, now)
 	}
+	if until := now.Add(response.RetryAfter); until.After(s.PausedUntil.Load()) {
+		s.PausedUntil.Store(until)
+	}
 	if response.Load != nil {
 		s.ApplyReport(Report{
 			InFlight:   response.Load.Running,
@@ -240,5 +251,6 @@
 		ConsecutiveFailures: s.ConsecutiveFailures.Load(),
 	}
 	dump.EjectedUntil = s.EjectedUntil.Load().UTC()
+	dump.PausedUntil = s.PausedUntil.Load().UTC()
 	return dump
 }
--- a/fleet/connection/endpoint/table_test.go
+++ b/fleet/connection/endpoint/table_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -155,3 +156,30 @@
 		t.Error("started anew: got excluded, want usable")
 	}
 }
+
+func TestParseRetryAfter(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		value  string
+		want   time.Duration
+	}{
+		{"whole seconds", 503, "3", 3 * time.Second},
+		{"fraction", 503, " 0.25 ", 250 * time.Millisecond},
+		{"no value", 503, "", 0},
+		{"zero", 503, "0", 0},
+		{"negative", 503, "-2", 0},
+		{"no number", 503, "NaN", 0},
+		{"too large", 503, "1e300", endpoint.MaxRetryAfter},
+		{"infinite", 503, "Inf", endpoint.MaxRetryAfter},
+		{"date", 503, "Wed, 21 Oct 2026 07:28:00 GMT", 0},
+		{"success", 200, "3", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := endpoint.ParseRetryAfter(test.status, http.Header{"Retry-After": {test.value}}); got != test.want {
+				t.Errorf("retry after: got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
--- a/fleet/request/balancer/picker.go
+++ b/fleet/request/balancer/picker.go
@@ -148,7 +148,7 @@
 func (p *Picker) candidates(members []*endpoint.State, request Request) (preferred, lastResort []Candidate[*endpoint.State]) {
 	preferred = make([]Candidate[*endpoint.State], 0, len(members))
 	for _, state := range members {
-		if !state.Usable() || !p.ejector.selectable(state, request.Now) {
+		if !state.Usable() || state.Paused(request.Now) || !p.ejector.selectable(state, request.Now) {
 			continue
 		}
 		candidate := p.candidate(state, request)
