--- a/fleet/connection/endpoint/dialect.go
+++ b/fleet/connection/endpoint/dialect.go
@@ -41,8 +41,8 @@
 	// Retiring is true if the endpoint itself announces that it leaves for good. Unlike
 	// Leaving, it holds until the endpoint is started anew.
 	Retiring bool
-	// RetryAfter is how long the endpoint, which refused the request, wants no others from
-	// this process. Zero is no wish.
+	// RetryAfter is how long the endpoint, which refused the request, wants no further ones
+	// from this process. Zero is no restriction.
 	RetryAfter time.Duration
 	// Load is nil if the response reports no load.
 	Load *Load
--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -223,8 +223,8 @@
 
 // Grant raises the granted total of the holder towards the target, keeps the account
 // within purchased, and reports whether the page changed. The demand and the used credits
-// are updated too, but that alone does not count as a change. A holder whose record is closed or
-// compacted is granted nothing.
+// are updated too, but that alone does not count as a change. A holder whose record is
+// closed or compacted is granted nothing.
 func (p Page) Grant(request GrantRequest, purchased int64) bool {
 	state := p.account(request.Budget)
 	record, found := state.Holders[request.Holder]
--- a/fleet/process/quarantine/quarantine.go
+++ b/fleet/process/quarantine/quarantine.go
@@ -24,7 +24,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -144,26 +143,22 @@
 // dropOldest drops the part whose last failure is the oldest. Quarantined parts are
 // dropped only if there are no others.
 func (t *Tracker) dropOldest() {
-	parts := slices.SortedFunc(maps.Keys(t.Suspects), func(a, b Part) int {
-		return cmp.Or(
-			cmp.Compare(t.rank(a), t.rank(b)),
-			t.lastFailure(a).Compare(t.lastFailure(b)),
-			cmp.Compare(a, b),
-		)
-	})
-	delete(t.Suspects, parts[0])
-}
-
-func (t *Tracker) rank(part Part) int {
-	if t.isQuarantined(t.Suspects[part]) {
-		return 1
+	var oldest Part
+	var oldestFailures []Suspicion
+	for part, failures := range t.Suspects {
+		if oldestFailures == nil || t.dropsBefore(failures, oldestFailures) {
+			oldest, oldestFailures = part, failures
+		}
 	}
-	return 0
+	delete(t.Suspects, oldest)
 }
 
-func (t *Tracker) lastFailure(part Part) time.Time {
-	known := t.Suspects[part]
-	return known[len(known)-1].At
+// dropsBefore reports whether a part with the failures is dropped before another one.
+func (t *Tracker) dropsBefore(failures, others []Suspicion) bool {
+	if quarantined := t.isQuarantined(failures); quarantined != t.isQuarantined(others) {
+		return !quarantined
+	}
+	return failures[len(failures)-1].At.Before(others[len(others)-1].At)
 }
 
 // Clear drops a part under which a response has begun, and reports whether it was a
@@ -210,6 +205,9 @@
 
 // isQuarantined reports whether the failures suffice to quarantine their part.
 func (t *Tracker) isQuarantined(known []Suspicion) bool {
+	if len(known) < t.Config.MinRequests {
+		return false
+	}
 	requests := make(map[ident.Request]bool)
 	lastCrash := make(map[string]time.Time)
 	crashes := 0
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -144,8 +144,8 @@
 	}
 }
 
-// attempt sends the request to the endpoint once and relays the response. repeated is true
-// if the endpoint got the request before.
+// attempt sends the request to the endpoint once and relays the response. It is a repeated
+// attempt if the request was sent to the endpoint before.
 func (r *Runner) attempt(ctx context.Context, job Job, chosen *endpoint.State, repeated bool, sink Sink) (RelayResult, attemptFailure) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/router/process/node/prompts.go
+++ b/router/process/node/prompts.go
@@ -14,7 +14,7 @@
 
 // MaxFailuresPerMessage bounds the failures in one message to a peer, so that it fits into
 // a frame.
-const MaxFailuresPerMessage = 500
+const MaxFailuresPerMessage = 100
 
 // PromptMonitor implements serve.PromptMonitor and is safe for concurrent use.
 type PromptMonitor struct {
--- a/router/process/node/quota.go
+++ b/router/process/node/quota.go
@@ -58,11 +58,10 @@
 }
 
 // prefetchQuota adds an allocation of every budget before its first use, and reads its
-// account, so that the quota manager requests grants for it. It does so from PrefetchDelay after the start, if there
-// are at most MaxPrefetchedBudgets budgets, the sizing policy uses no witnesses and this
-// process has no supplier. Without a prefetch, a
-// process that is partitioned from the store before the first use of a budget has no
-// credits for it.
+// account, so that the quota manager requests grants for it. It does so from PrefetchDelay
+// after the start, if there are at most MaxPrefetchedBudgets budgets, the sizing policy uses
+// no witnesses and this process has no supplier. Without a prefetch, a process that is
+// partitioned from the store before the first use of a budget has no credits for it.
 func (s *State) prefetchQuota(now time.Time) {
 	supplied := len(s.Quota.Supply.Suppliers) > 0
 	budgets := s.Generation.Set.Budgets
@@ -358,7 +357,8 @@
 	s.Log.Emit(event.QuotaGranted, event.String("budget", budget), event.Int("purchased", allocation.Purchased),
 		event.Int("granted", allocation.Granted), event.Int("held", level.Available),
 		event.Int("reserved", level.Reserved), event.Int("spent", level.Spent),
-		event.Int("refunded", allocation.Refunded), event.Int("remaining", allocation.Remaining), event.Int("lost", allocation.Lost),
+		event.Int("refunded", allocation.Refunded), event.Int("remaining", allocation.Remaining),
+		event.Int("lost", allocation.Lost),
 		event.Int("demand_per_second", int64(allocation.Demand.Rate)))
 }
 
