--- a/fleet/process/quota/cluster_test.go
+++ b/fleet/process/quota/cluster_test.go
@@ -61,6 +61,7 @@
 	node    *node
 	version int
 	value   []byte
+	change  func(account.Page) bool
 }
 
 // reply is the reply of the store to a write or read, with the page version and the
@@ -106,6 +107,11 @@
 		balance: balances.Get(budget),
 		witness: quota.NewWitness(),
 	}
+	fresh.manager.StartedAt = c.now
+	if policy == policies["released"] {
+		fresh.manager.VM = "vm-" + string(id)
+		fresh.manager.Started = account.Start{Boot: "boot-" + string(id), Uptime: 1_000}
+	}
 	fresh.manager.SetPurchased(budget, c.purchased)
 	c.nodes = append(c.nodes, fresh)
 	return fresh
@@ -180,7 +186,7 @@
 // startWrite starts a conditional update of the current page.
 func (c *cluster) startWrite(n *node, change func(account.Page) bool) {
 	page := c.page()
-	started := write{node: n, version: c.version}
+	started := write{node: n, version: c.version, change: change}
 	if change(page) {
 		page.Compact()
 		value, err := page.Encode()
@@ -268,6 +274,11 @@
 func (c *cluster) deliverAll() {
 	for len(c.writes)+len(c.messages) > 0 {
 		for _, started := range c.takeWrites() {
+			if started.value != nil && started.version != c.version {
+				// A writer repeats its change after a conflict.
+				c.startWrite(started.node, started.change)
+				continue
+			}
 			c.messages = append(c.messages, c.apply(started))
 		}
 		messages := c.messages
--- a/fleet/process/quota/losses_test.go
+++ b/fleet/process/quota/losses_test.go
@@ -125,7 +125,7 @@
 		// Enough for all requests of the day, and a tenth more.
 		purchased = 1.1 * (losses*4 + 16) * 5 * requestSize
 	)
-	policy := quota.DemandSpread{Horizon: 20 * time.Second, Share: 0.6, Holders: 1, Refill: 0.75, MaxLoss: 0.3}
+	policy := quota.DemandSpread{Horizon: 20 * time.Second, Share: 0.6, Holders: 1, Refill: 0.75, MaxLoss: 0.25}
 	day := newFleetDay(policy, purchased)
 	for range losses {
 		day.serve(calm)
