quota: Test that successors return nothing that was used

The other boot is covered by TestSuccessorReturnsWhatWasNotReleased; a refund of released credits is not caught, and does not overspend by itself.

--- a/fleet/process/quota/release_test.go
+++ b/fleet/process/quota/release_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"jacinthpaddle.example/fleet/process/account"
 	"jacinthpaddle.example/fleet/process/quota"
 )
@@ -94,3 +96,36 @@
 		t.Errorf("available: got %d, want 900", got)
 	}
 }
+
+// spendAll reserves all credits that are available at a node.
+func (m *machine) spendAll(t *rapid.T) {
+	n := m.pick(t, running)
+	if available := n.balance.Level().Available; n.balance.Reserve(available) {
+		n.reserved = append(n.reserved, available)
+	}
+}
+
+// TestSuccessorsReturnNothingThatWasUsed has holders spend whatever their schedules release,
+// in any time between records that take effect, get lost or are late, until they are killed
+// or lose power.
+func TestSuccessorsReturnNothingThatWasUsed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := policies["released"]
+		m := &machine{cluster: newCluster(2, 100_000, policy), policy: policy}
+		t.Repeat(map[string]func(*rapid.T){
+			"":        m.check,
+			"request": m.request,
+			"spend":   m.spendAll,
+			"consume": m.spendAll,
+			"finish":  m.finish,
+			"receive": m.receive,
+			"next":    m.receive,
+			"update":  m.update,
+			"delayed": m.applyLate,
+			"pass":    m.advance,
+			"wait":    m.advance,
+			"crash":   m.crash,
+			"calm":    m.quiesce,
+		})
+	})
+}
