--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -10,6 +10,10 @@
 // transfer credits to each other without the store, so that one holder can return more
 // than it was granted: the invariant is over all holders of an account.
 //
+// A holder without witnesses records by which Release schedule it uses its grant, so that
+// a successor on its VM can return the rest. What cannot be returned counts as spent, and
+// the part that was not known to be used as lost.
+//
 // Every update contains totals, not increments, so that it can be applied again to a
 // page that already includes it. A writer whose update had no clear result reads the
 // page, applies the same update and writes the page if that changed it.
