--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -10,10 +10,6 @@
 // transfer credits to each other without the store, so that one holder can return more
 // than it was granted: the invariant is over all holders of an account.
 //
-// A holder without witnesses records by which Release schedule it uses its grant, so that
-// a successor on its VM can return the rest. What cannot be returned counts as spent, and
-// the part that was not known to be used as lost.
-//
 // Every update contains totals, not increments, so that it can be applied again to a
 // page that already includes it. A writer whose update had no clear result reads the
 // page, applies the same update and writes the page if that changed it.
@@ -69,9 +65,6 @@
 	VM string `json:"vm,omitempty"`
 	// Demand is the demand of the holder at its last update, in credits a second.
 	Demand float64 `json:"demand,omitempty"`
-	// Release is the schedule by which the holder uses its grant, or nil if it may use all
-	// of it at once.
-	Release *Release `json:"release,omitempty"`
 	// Epoch is the number of the witness set.
 	Epoch int64 `json:"epoch,omitempty"`
 	// Witnesses must attest the ceiling of the holder before its unused quota is
@@ -206,10 +199,6 @@
 	Demand float64
 	// Used is the total that Holder.Used records.
 	Used int64
-	// Started is when the holder started.
-	Started Start
-	// Release is the schedule to record, or nil.
-	Release *Release
 	// Epoch is the number of the witness set to record.
 	Epoch     int64
 	Witnesses []ident.Incarnation
@@ -257,10 +246,6 @@
 		record.Witnesses = request.Witnesses
 		changed = true
 	}
-	if request.Release != nil && (record.Release == nil || request.Release.Number > record.Release.Number) {
-		record.Release = request.Release
-		changed = true
-	}
 	record.Demand = math.Round(request.Demand)
 	record.Used = request.Used
 	state.Holders[request.Holder] = record
@@ -269,9 +254,9 @@
 }
 
 // closePredecessors closes the records of earlier holders on the VM of a new one and
-// returns how many credits were lost with them. What they can have used, by their release
-// schedules, counts as spent, and the rest is returned. Records with witnesses are left to
-// a reclaim.
+// returns how many credits were lost with them. Records without witnesses are written
+// off, since their holders may have spent the whole grant. Records with witnesses are
+// left to a reclaim.
 func (a Account) closePredecessors(request GrantRequest) int64 {
 	if request.VM == "" {
 		return 0
@@ -279,7 +264,6 @@
 	var lost int64
 	for holder, record := range a.Holders {
 		if holder != request.Holder && record.VM == request.VM && len(record.Witnesses) == 0 {
-			record.Returned = max(record.Returned, record.Granted-record.usedBefore(request.Started))
 			record.Closed = true
 			a.Holders[holder] = record
 			lost += record.unused()
--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -36,7 +36,6 @@
 	Reloaded            = Kind{1009, "settings reloaded", logrus.InfoLevel}
 	ReloadRefused       = Kind{1010, "reloaded settings refused", logrus.ErrorLevel}
 	LibraryMessage      = Kind{1011, "message of a library", logrus.WarnLevel}
-	BootUnknown         = Kind{1012, "boot of the VM not known", logrus.WarnLevel}
 	GenerationActivated = Kind{2001, "generation taken", logrus.InfoLevel}
 	GenerationFailed    = Kind{2002, "generation not readable", logrus.WarnLevel}
 	PlatformUnavailable = Kind{3001, "platform unavailable", logrus.WarnLevel}
@@ -71,7 +70,7 @@
 func All() []Kind {
 	return []Kind{
 		Started, Draining, Stopped, BadSettings, ListenFailed, ControlPanicked, DumpWritten, DrainIncomplete,
-		Reloaded, ReloadRefused, LibraryMessage, BootUnknown,
+		Reloaded, ReloadRefused, LibraryMessage,
 		GenerationActivated, GenerationFailed,
 		PlatformUnavailable, PlatformAvailable,
 		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed,
--- a/fleet/process/quota/allocation.go
+++ b/fleet/process/quota/allocation.go
@@ -134,13 +134,6 @@
 	// CandidateWitnesses is the set to propose once one of its members has
 	// acknowledged the ceiling.
 	CandidateWitnesses []ident.Incarnation `json:"prepared"`
-	// Releases lists the schedules that may be the one in the store. The last one is the
-	// latest proposed. It is empty before the first one, and for a holder without them.
-	Releases []Release `json:"releases"`
-	// ReleaseNumber is the number of the latest proposed schedule.
-	ReleaseNumber int64 `json:"release_number"`
-	// Withheld is the part of Refunded that was never released.
-	Withheld int64 `json:"withheld"`
 	// AckedCeilings is the highest ceiling that each witness acknowledged.
 	AckedCeilings map[ident.Incarnation]int64 `json:"acked"`
 	// FencedBy holds the witnesses that have fenced this holder.
@@ -187,7 +180,7 @@
 	if a.Closing || a.RecordClosed {
 		return 0
 	}
-	return a.Granted - a.Ceiling - a.Withheld
+	return a.Granted - a.Ceiling
 }
 
 // Held returns the unspent credits, available and unacknowledged. Reserved credits are
@@ -207,13 +200,9 @@
 }
 
 // permittedCeiling returns the highest ceiling that at least one witness of each set
-// that may be in the store has acknowledged, and that each release schedule that may be in
-// the store permits.
-func (a *Allocation) permittedCeiling(now time.Time) int64 {
-	permitted := a.Granted - a.Withheld
-	for _, release := range a.Releases {
-		permitted = min(permitted, release.Permitted(now.Sub(release.At)))
-	}
+// that may be in the store has acknowledged.
+func (a *Allocation) permittedCeiling() int64 {
+	permitted := a.Granted
 	for _, set := range a.WitnessSets {
 		if len(set.Witnesses) > 0 {
 			permitted = min(permitted, a.ackedCeiling(set.Witnesses))
@@ -232,11 +221,11 @@
 }
 
 // applyCeiling raises the ceiling to the permitted one and adds the difference to the
-// balance. A holder that closes or was closed does not raise it, since its unacknowledged
-// credits count as returned.
-func (a *Allocation) applyCeiling(now time.Time) {
-	permitted := a.permittedCeiling(now)
-	if a.Closing || a.RecordClosed || permitted <= a.Ceiling {
+// balance. A closing holder does not raise it, since it counts the unacknowledged
+// credits as returned.
+func (a *Allocation) applyCeiling() {
+	permitted := a.permittedCeiling()
+	if a.Closing || permitted <= a.Ceiling {
 		return
 	}
 	a.Balance.Add(permitted - a.Ceiling)
--- a/fleet/process/quota/balance.go
+++ b/fleet/process/quota/balance.go
@@ -16,14 +16,10 @@
 // The ceiling is how much of its grant the holder may use, by spending or by
 // transferring credits. Witnesses acknowledge each increase of the ceiling before it
 // takes effect, so that a Recovery can reclaim the unacknowledged rest if the holder
-// terminates without returning it. No step of that depends on a clock: a holder that was
-// only paused cannot use more than its witnesses attested, since they refuse it any further
+// terminates without returning it. No step depends on a clock: a holder that was only
+// paused cannot use more than its witnesses attested, since they refuse it any further
 // increase.
 //
-// A holder without witnesses raises its ceiling by a Release schedule, which the account
-// has recorded. It depends on the monotonic clock of one boot of the VM: a successor in the
-// same boot returns what the schedule had not released when it started.
-//
 // # Usage
 //
 // A request reserves an upper bound of its cost and settles to the actual cost:
--- a/fleet/process/quota/ceiling.go
+++ b/fleet/process/quota/ceiling.go
@@ -121,7 +121,7 @@
 		allocation.FencedBy[message.Witness] = true
 	}
 	allocation.AckedCeilings[message.Witness] = max(allocation.AckedCeilings[message.Witness], message.Ceiling)
-	allocation.applyCeiling(now)
+	allocation.applyCeiling()
 	m.proposeWitnesses(allocation)
 	actions := m.sendPending(allocation, now)
 	actions.Add(m.search(allocation, now))
--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -50,10 +50,6 @@
 	Self ident.Incarnation
 	// VM is the name of the VM on which the holder runs.
 	VM string
-	// Started is when the holder started in the boot of its VM, and StartedAt the same
-	// moment on the clock. With an unknown boot the holder has no release schedules.
-	Started   account.Start
-	StartedAt time.Time
 	// Window is the time constant of the demand estimates.
 	Window time.Duration
 	// Batched is true during a Tick in which the sizing policy requests a grant for any
@@ -147,7 +143,6 @@
 // search is started.
 func (m *Manager[S]) Request(budget string, need int64, now time.Time) Actions {
 	allocation := m.Allocation(budget)
-	allocation.applyCeiling(now)
 	if need == 0 || now.Before(allocation.SearchRetryAt) {
 		allocation.Search = Search{}
 		return Actions{}
@@ -190,9 +185,8 @@
 	if view.Found && !view.Record.Closed {
 		allocation.applyGrant(view.Record.Granted)
 		allocation.dropSupersededSets(view.Record)
-		allocation.dropSupersededReleases(view.Record)
 		allocation.RefundStored = max(allocation.RefundStored, view.Record.Returned)
-		allocation.applyCeiling(now)
+		allocation.applyCeiling()
 	}
 	if allocation.RecordClosed {
 		allocation.RefundStored = allocation.Refunded
@@ -257,8 +251,6 @@
 			continue
 		}
 		m.maintainWitnesses(allocation)
-		allocation.applyCeiling(now)
-		actions.Add(m.sendPending(allocation, now))
 		actions.Add(m.requestCeiling(allocation, now))
 		actions.Add(m.refill(allocation, now))
 		actions.Add(m.search(allocation, now))
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -11,8 +11,7 @@
 )
 
 // search continues the search for the waiting requests: it requests a higher ceiling,
-// then credits from the supplier of a supplied allocation, then a grant or a new release
-// schedule from the store,
+// then credits from the supplier of a supplied allocation, then a grant from the store,
 // then credits from peers. It does nothing while the balance covers the need. While the
 // available and unacknowledged credits together cover it, only the ceiling is requested,
 // for TransferRequestTimeout from the start of the search. The search ends once the
@@ -20,24 +19,14 @@
 // credits.
 func (m *Manager[S]) search(allocation *Allocation, now time.Time) Actions {
 	search := &allocation.Search
-	if search.Need == 0 {
-		return Actions{}
-	}
-	allocation.applyCeiling(now)
-	if allocation.Balance.Level().Available >= search.Need {
+	if search.Need == 0 || allocation.Balance.Level().Available >= search.Need {
 		return Actions{}
 	}
 	actions := m.requestCeiling(allocation, now)
-	held := allocation.Held() >= search.Need
-	if held && !m.releases() && now.Sub(search.StartedAt) < TransferRequestTimeout {
+	if allocation.Held() >= search.Need && now.Sub(search.StartedAt) < TransferRequestTimeout {
 		return actions
 	}
-	release := held && m.releases()
-	if release && !allocation.UpdatePending && !allocation.StoreUnavailable {
-		// The account may be empty, but it can record a schedule that releases what is held.
-		search.StoreRequested = false
-	}
-	if supplier, ok := m.supplierOf(allocation); ok && !search.StoreRequested && !release {
+	if supplier, ok := m.supplierOf(allocation); ok && !search.StoreRequested {
 		actions.Add(m.requestFrom(allocation, supplier, search.Need-allocation.Balance.Level().Available, now))
 		if search.awaitsReply([]ident.Incarnation{supplier}, now) {
 			return actions
@@ -214,8 +203,7 @@
 		return Actions{}
 	}
 	amount := m.grantAmount(allocation, now)
-	if amount == 0 && !allocation.hasUnrecordedSet() && !allocation.OutcomeUnknown &&
-		!m.needsRelease(allocation) && !m.renewsRelease(allocation, now) {
+	if amount == 0 && !allocation.hasUnrecordedSet() && !allocation.OutcomeUnknown {
 		return Actions{}
 	}
 	if !allocation.RecordSeen {
@@ -236,8 +224,6 @@
 		MaxUnused:    m.Sizing.MaxUnused(input),
 		Demand:       input.Demand,
 		Used:         allocation.used(),
-		Started:      m.Started,
-		Release:      m.proposeRelease(allocation, amount, now),
 		Epoch:        latest.Epoch,
 		Witnesses:    latest.Witnesses,
 	}}}
@@ -252,7 +238,8 @@
 		return Actions{}
 	}
 	if !m.supplied(allocation) && !allocation.StoreUnavailable {
-		m.withdraw(allocation, m.Sizing.Surplus(m.sizing(allocation)))
+		surplus := m.Sizing.Surplus(m.sizing(allocation))
+		allocation.Refunded += allocation.Balance.Take(surplus)
 	}
 	if allocation.Refunded <= allocation.RefundStored {
 		return Actions{}
--- a/fleet/process/quota/transfer.go
+++ b/fleet/process/quota/transfer.go
@@ -59,7 +59,6 @@
 	}
 	allocation := m.Allocation(message.Budget)
 	allocation.observeRequest(message.Need)
-	allocation.applyCeiling(now)
 	amount := m.transferAmount(allocation, message)
 	taken := allocation.Balance.Take(amount)
 	transfers := allocation.Transfers[message.From]
@@ -69,9 +68,6 @@
 	}
 	allocation.Transfers[message.From] = transfers
 	actions := m.requestCeiling(allocation, now)
-	if m.needsRelease(allocation) {
-		actions.Add(m.requestGrant(allocation, now))
-	}
 	if m.Supply.Supplies && transfers.Pending > 0 && !now.Before(allocation.SearchRetryAt) {
 		if allocation.Remaining == 0 {
 			allocation.SearchRetryAt = now.Add(MinSearchBackoff)
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -24,7 +24,6 @@
 	"jacinthpaddle.example/fleet/connection/endpoint"
 	"jacinthpaddle.example/fleet/connection/peer"
 	"jacinthpaddle.example/fleet/process/account"
-	"jacinthpaddle.example/fleet/process/boot"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/control"
 	"jacinthpaddle.example/fleet/process/event"
@@ -190,24 +189,11 @@
 	n.worker = &ioWorker{Hub: n.hub, ctx: n.ctx, self: n.Self, objects: n.platform, pages: pages}
 	n.state = NewState(self, n.Settings, n.dialect(), n.Clock, n.Log, n.worker)
 	n.state.OnEvicted = n.Drain
-	n.state.Quota.Started = n.readBoot()
-	n.state.Quota.StartedAt = n.Clock.Now()
 	n.thread = control.New(n.state, n.Deps.Fatal)
 	receiver.thread = n.thread
 	n.worker.thread = n.thread
 }
 
-// readBoot returns when this process started in the boot of its VM. Without that a successor
-// cannot tell how much quota this process may have used, and writes all of it off.
-func (n *Node) readBoot() account.Start {
-	started, err := boot.Read()
-	if err != nil {
-		n.Log.Emit(event.BootUnknown, event.Cause(err))
-		return account.Start{}
-	}
-	return account.Start{Boot: started.ID, Uptime: started.Uptime.Milliseconds()}
-}
-
 // peerBytes returns the bytes exchanged with peers since the start.
 func (n *Node) peerBytes() (received, sent int64) {
 	counters := n.hub.Dump().Counters
