endpoint: Store a pause only if a response asks for one

Cause: each response without Retry-After stored the current time as the end of a pause, an allocation on the path of every request, and the dump showed a pause that nobody had asked for. Change: nothing is stored then. Which endpoints are chosen is the same; tests of endpoint and ingress pass unchanged.

--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -132,6 +132,13 @@
 	return now.Before(s.PausedUntil.Load())
 }
 
+// pauseUntil extends the time in which the endpoint wants no requests.
+func (s *State) pauseUntil(until time.Time) {
+	if until.After(s.PausedUntil.Load()) {
+		s.PausedUntil.Store(until)
+	}
+}
+
 // Limit returns how many requests this process may have open at the endpoint: the limit
 // that its pool declares, or OpenPerSlot for each reported slot if that is less. Zero is
 // no limit.
@@ -224,8 +231,8 @@
 	if response.Retiring {
 		s.MarkLeaving(ByAnnouncement, now)
 	}
-	if until := now.Add(response.RetryAfter); until.After(s.PausedUntil.Load()) {
-		s.PausedUntil.Store(until)
+	if response.RetryAfter > 0 {
+		s.pauseUntil(now.Add(response.RetryAfter))
 	}
 	if response.Load != nil {
 		s.ApplyReport(Report{
