account: Write records off in one place

Cause: closePredecessors and WriteOff each closed a record without a return and added its unused credits to Lost; the first did so by hand and also counted a record that was closed already, which no stored page has, since pages are compacted before. Change: Account.writeOff serves both, and closeRecord belongs to the account.

--- a/fleet/process/account/account.go
+++ b/fleet/process/account/account.go
@@ -234,7 +234,7 @@
 	changed := !found
 	if !found {
 		record.VM = request.VM
-		state.Lost += state.closePredecessors(request)
+		state.closePredecessors(request)
 	}
 	granted := request.increase(record.Granted, purchased-state.Outstanding(), state.unused())
 	if granted > 0 {
@@ -253,23 +253,40 @@
 	return changed
 }
 
-// closePredecessors closes the records of earlier holders on the VM of a new one and
-// returns how many credits were lost with them. Records without witnesses are written
-// off, since their holders may have spent the whole grant. Records with witnesses are
-// left to a reclaim.
-func (a Account) closePredecessors(request GrantRequest) int64 {
+// closePredecessors closes the records of earlier holders on the VM of a new one.
+// Records without witnesses are written off, since their holders may have spent the whole
+// grant. Records with witnesses are left to a reclaim.
+func (a *Account) closePredecessors(request GrantRequest) {
 	if request.VM == "" {
-		return 0
+		return
 	}
-	var lost int64
 	for holder, record := range a.Holders {
 		if holder != request.Holder && record.VM == request.VM && len(record.Witnesses) == 0 {
-			record.Closed = true
-			a.Holders[holder] = record
-			lost += record.unused()
+			a.writeOff(holder)
 		}
 	}
-	return lost
+}
+
+// writeOff closes an open record, counts all of its grant as spent, and reports whether
+// there was one.
+func (a *Account) writeOff(holder ident.Incarnation) bool {
+	if !a.closeRecord(holder, 0) {
+		return false
+	}
+	a.Lost += a.Holders[holder].unused()
+	return true
+}
+
+// closeRecord closes an open record and reports whether there was one.
+func (a *Account) closeRecord(holder ident.Incarnation, returned int64) bool {
+	record, found := a.Holders[holder]
+	if !found || record.Closed {
+		return false
+	}
+	record.Returned = max(record.Returned, returned)
+	record.Closed = true
+	a.Holders[holder] = record
+	return true
 }
 
 // unused returns the credits that all holders have and are not known to have used.
@@ -301,9 +318,9 @@
 // Return closes the record of the holder and reports whether the page changed. A
 // record that is closed or missing stays as it is.
 func (p Page) Return(request Return) bool {
-	record := p.Accounts[request.Budget].Holders[request.Holder]
-	unknown := max(0, record.Granted-request.Granted)
-	return p.closeRecord(request.Budget, request.Holder, request.Returned+unknown)
+	state := p.Accounts[request.Budget]
+	unknown := max(0, state.Holders[request.Holder].Granted-request.Granted)
+	return state.closeRecord(request.Holder, request.Returned+unknown)
 }
 
 // Refund returns credits of a holder that continues.
@@ -332,19 +349,6 @@
 	return true
 }
 
-// closeRecord closes an open record and reports whether there was one.
-func (p Page) closeRecord(budget string, holder ident.Incarnation, returned int64) bool {
-	holders := p.Accounts[budget].Holders
-	record, found := holders[holder]
-	if !found || record.Closed {
-		return false
-	}
-	record.Returned = max(record.Returned, returned)
-	record.Closed = true
-	holders[holder] = record
-	return true
-}
-
 // Reclaim closes the record of a failed holder and returns the credits above its
 // ceiling.
 type Reclaim struct {
@@ -360,22 +364,21 @@
 // Reclaim closes the record and reports whether the page changed. It refuses if the
 // witness set is no longer the one that attested.
 func (p Page) Reclaim(request Reclaim) bool {
-	record, found := p.Accounts[request.Budget].Holders[request.Holder]
+	state := p.Accounts[request.Budget]
+	record, found := state.Holders[request.Holder]
 	if !found || record.Epoch != request.Epoch || len(record.Witnesses) < MinWitnesses {
 		return false
 	}
-	return p.closeRecord(request.Budget, request.Holder, record.Granted-request.Ceiling)
+	return state.closeRecord(request.Holder, record.Granted-request.Ceiling)
 }
 
 // WriteOff closes the record of a failed holder whose quota cannot be reclaimed. All
 // of its grant counts as spent.
 func (p Page) WriteOff(budget string, holder ident.Incarnation) bool {
 	state := p.Accounts[budget]
-	lost := state.Holders[holder].unused()
-	if !p.closeRecord(budget, holder, 0) {
+	if !state.writeOff(holder) {
 		return false
 	}
-	state.Lost += lost
 	p.Accounts[budget] = state
 	return true
 }
