quota: Ask an allocation whether it was read, and name a holder's share

Cause: four places compared Remaining with the value of an unread account, and MaxFraction repeated the product of share() under the name kept. Change: Allocation.unread serves all four, share() serves MaxFraction and target. Result: tests of quota pass; behaviour is unchanged.

--- a/fleet/process/quota/allocation.go
+++ b/fleet/process/quota/allocation.go
@@ -164,10 +164,15 @@
 	a.Lost = view.Lost
 }
 
+// unread reports whether the account was not read yet.
+func (a *Allocation) unread() bool {
+	return a.Remaining == unknownRemaining
+}
+
 // knownRemaining returns what the account had left to grant when it was last read. All
 // purchased credits count as remaining until then.
 func (a *Allocation) knownRemaining() int64 {
-	if a.Remaining == unknownRemaining {
+	if a.unread() {
 		return a.Purchased
 	}
 	return a.Remaining
--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -134,7 +134,7 @@
 // Unread reports whether the account of the budget was not read since the start or the
 // last purchase.
 func (m *Manager[S]) Unread(budget string) bool {
-	return m.Allocation(budget).Remaining == unknownRemaining
+	return m.Allocation(budget).unread()
 }
 
 // Request registers how many credits all waiting requests need together, or zero if
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -168,7 +168,7 @@
 // open holders of the account and the peers of earlier transfers. Before the account
 // was read all peers may hold credits.
 func (m *Manager[S]) candidates(allocation *Allocation) []ident.Incarnation {
-	if allocation.Remaining == unknownRemaining && len(allocation.OtherHolders) == 0 {
+	if allocation.unread() && len(allocation.OtherHolders) == 0 {
 		return m.Peers
 	}
 	var candidates []ident.Incarnation
@@ -330,7 +330,7 @@
 		Granted:     allocation.Granted,
 		Purchased:   allocation.Purchased,
 		Remaining:   allocation.knownRemaining(),
-		Unread:      allocation.Remaining == unknownRemaining,
+		Unread:      allocation.unread(),
 		Lost:        allocation.Lost,
 		Holders:     holders,
 		Batched:     m.Batched,
--- a/fleet/process/quota/spread.go
+++ b/fleet/process/quota/spread.go
@@ -84,8 +84,8 @@
 	if input.Remaining <= 0 {
 		return d.Share * d.shareWeight(input)
 	}
-	kept := max(d.kept(input)*d.shareWeight(input), input.Demand*MinHorizon.Seconds())
-	return kept / float64(input.Remaining)
+	share := max(d.share(input), input.Demand*MinHorizon.Seconds())
+	return share / float64(input.Remaining)
 }
 
 // MaxUnused implements SizingPolicy. The shares of holders that know little of each other
@@ -119,7 +119,7 @@
 
 // target returns how many credits to hold.
 func (d DemandSpread) target(input SizingInput) int64 {
-	share := d.share(input)
+	share := int64(d.share(input))
 	wanted := max(
 		creditsFor(input.Demand, d.Horizon),
 		int64(MinShareFraction*float64(share)),
@@ -129,8 +129,8 @@
 }
 
 // share returns the most that this holder keeps of what remains.
-func (d DemandSpread) share(input SizingInput) int64 {
-	return int64(d.kept(input) * d.shareWeight(input))
+func (d DemandSpread) share(input SizingInput) float64 {
+	return d.kept(input) * d.shareWeight(input)
 }
 
 // kept returns how many credits all holders keep together. It decreases with the square of
