--- a/router/process/node/prefetch_test.go
+++ b/router/process/node/prefetch_test.go
@@ -2,16 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 
-	"github.com/sirupsen/logrus"
-
 	"jacinthpaddle.example/fleet/process/account"
-	"jacinthpaddle.example/fleet/process/clock"
-	"jacinthpaddle.example/fleet/process/control"
-	"jacinthpaddle.example/fleet/process/event"
-	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/router/process/node"
 )
 
@@ -31,25 +24,19 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			fake := clock.NewFake()
 			settings := node.DefaultSettings()
 			settings.Quota.Witnessed = false
 			settings.Quota.Holders, settings.Quota.SharePercent, settings.Quota.LossPercent = 1, 60, 40
-			self := member.Member{Incarnation: "self", VM: "entry-1", Started: fake.Now()}
-			out := &fakeIO{page: account.Page{Accounts: make(map[string]account.Account)}}
+			router := startTestRouter(t, "self", settings)
+			accounts := router.io.page.Accounts
 			if test.lost > 0 {
-				out.page.Accounts["hall"] = account.Account{Retired: test.lost, Lost: test.lost}
+				accounts["hall"] = account.Account{Retired: test.lost, Lost: test.lost}
 			}
-			state := node.NewState(self, settings, nil, fake, event.NewLog(io.Discard, logrus.ErrorLevel), out)
-			thread := control.New(state, func(value any) { t.Errorf("panic: %v", value) })
-			t.Cleanup(thread.Stop)
-			out.thread = thread
-			router := &testRouter{thread: thread, io: out, clock: fake, credits: node.NewCreditReserver(thread, state.Quota.Balances)}
 			router.receiveGeneration(t, 1, purchased)
 			for range node.PrefetchDelay/node.QuotaInterval + 2 {
 				router.tick()
 			}
-			if got := out.page.Accounts["hall"].Holders["self"].Granted; got != test.want {
+			if got := accounts["hall"].Holders["self"].Granted; got != test.want {
 				t.Errorf("granted before the first request: got %d, want %d", got, test.want)
 			}
 			if _, ok := router.credits.Reserve(context.Background(), "hall", 500); !ok {
