node: Define observations of prompts once

Cause: PromptsObserved had the two fields of peer.Prompts, which was copied into it. Change: PromptsObserved is defined by peer.Prompts; the encoding is the same.

--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -103,7 +103,7 @@
 	case m.Message.VMList != nil:
 		state.handleVMList(from, *m.Message.VMList)
 	case m.Message.Prompts != nil:
-		PromptsObserved{Failures: m.Message.Prompts.Failures, Cleared: m.Message.Prompts.Cleared}.Apply(state)
+		PromptsObserved(*m.Message.Prompts).Apply(state)
 	default:
 		if !m.handleJournal(state, from) {
 			m.handleQuota(state, now)
--- a/router/process/node/prompts.go
+++ b/router/process/node/prompts.go
@@ -44,10 +44,7 @@
 
 // PromptsObserved has failed requests, and parts of prompts under which a response has
 // begun. They were observed here or by a peer.
-type PromptsObserved struct {
-	Failures []quarantine.Failure
-	Cleared  []quarantine.Part
-}
+type PromptsObserved peer.Prompts
 
 // Apply implements control.Message. What was not known yet is sent to the peers with the
 // next Tick.
