--- a/fleet/process/quarantine/quarantine.go
+++ b/fleet/process/quarantine/quarantine.go
@@ -68,6 +68,9 @@
 	MaxKnown int
 }
 
+// DefaultMemory is how long a failure counts by default.
+const DefaultMemory = 2 * time.Minute
+
 // Defaults returns the thresholds for endpoints that are back some seconds after a
 // crash.
 func Defaults() Config {
@@ -76,7 +79,7 @@
 		MinCrashes:    3,
 		MinEndpoints:  2,
 		CrashInterval: time.Second,
-		Memory:        2 * time.Minute,
+		Memory:        DefaultMemory,
 		MaxParts:      1024,
 		MaxFailures:   16,
 		MaxKnown:      16_384,
@@ -175,15 +178,15 @@
 	maps.DeleteFunc(t.Known, func(_ Attempt, at time.Time) bool { return now.Sub(at) >= t.Config.Memory })
 	expired := false
 	for part, known := range t.Suspects {
-		kept := slices.DeleteFunc(slices.Clone(known), func(s Suspicion) bool { return now.Sub(s.At) >= t.Config.Memory })
-		if len(kept) == len(known) {
+		switch first := slices.IndexFunc(known, func(s Suspicion) bool { return now.Sub(s.At) < t.Config.Memory }); first {
+		case 0:
 			continue
-		}
-		expired = true
-		t.Suspects[part] = kept
-		if len(kept) == 0 {
+		case -1:
 			delete(t.Suspects, part)
+		default:
+			t.Suspects[part] = known[first:]
 		}
+		expired = true
 	}
 	return expired
 }
