--- a/fleet/process/quota/losses_test.go
+++ b/fleet/process/quota/losses_test.go
@@ -74,9 +74,7 @@
 	steps := int(span / dayStep)
 	for step := range steps {
 		d.now = d.now.Add(dayStep)
-		for _, ended := range d.ends[step] {
-			ended.balance.Settle(ended.amount, ended.amount)
-		}
+		settleAll(d.ends[step])
 		if step%int(time.Second/dayStep) == 0 {
 			d.tick(0)
 		}
@@ -89,14 +87,18 @@
 		d.deliverAll()
 	}
 	for _, reservations := range d.ends {
-		for _, ended := range reservations {
-			ended.balance.Settle(ended.amount, ended.amount)
-		}
+		settleAll(reservations)
 	}
 	clear(d.ends)
 	return sent, served
 }
 
+func settleAll(ended []reservation) {
+	for _, one := range ended {
+		one.balance.Settle(one.amount, one.amount)
+	}
+}
+
 // request sends a request to any running process and reports whether it found credits.
 func (d *fleetDay) request(end int) bool {
 	nodes := d.running()
