--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -119,6 +119,7 @@
 		"version": 7,
 		"routes": []any{
 			route("r-draft", "/draft/", "stream", "pool", 12000, 2, true),
+			route("r-query", "/query/", "stream", "pool", 12000, 1, false),
 			route("r-redeem", "/redeem/", "unsafe", "desk", 1000, 1, false),
 			route("r-balance", "/balance/", "safe", "desk", 1000, 2, false),
 		},
--- a/review/standins/drain.go
+++ b/review/standins/drain.go
@@ -8,7 +8,7 @@
 	leaveAfter = 300 * time.Millisecond
 	// serveAfterLeaving is how long the runner serves after that: drainMs and a little
 	// longer.
-	serveAfterLeaving = drainTime + 900*time.Millisecond
+	serveAfterLeaving = drainTime + 600*time.Millisecond
 	drainTraffic      = 6 * time.Second
 )
 
--- a/review/standins/forget.go
+++ b/review/standins/forget.go
@@ -27,7 +27,7 @@
 	}
 	defer d.stop()
 	for range 9 {
-		r, err := d.addRunner("pool", 64, 192, 20*time.Millisecond, 15*time.Millisecond)
+		r, err := d.addRunner("pool", 64, 192, 20*time.Millisecond, 25*time.Millisecond)
 		if err != nil {
 			return notRun, err
 		}
@@ -55,7 +55,7 @@
 	from := time.Now()
 	log.printf("the machines have been up for longer than %s", contactTime)
 	var group sync.WaitGroup
-	for index := range 6 {
+	for index := range soundClients {
 		group.Go(func() { d.sendPrompts(&sound, index, from.Add(forgetRequests*forgetPause), 100*time.Millisecond, "") })
 	}
 	for number := range forgetRequests {
@@ -94,6 +94,12 @@
 		}
 	}
 	d.log.say("requests with the part: %d; crashes: %d, of which %d before the machines were in touch again; requests with the part that reached runners after that and later than %s after the fifth crash: %d", len(deadly.answers), len(crashes), before, contactTime, reached)
-	d.log.say("sound streams after that: %d", len(sound.answers))
+	cut := 0
+	for _, a := range sound.answers {
+		if a.status == 200 && !a.whole {
+			cut++
+		}
+	}
+	d.log.say("sound streams after that: %d, of which broken off by crashes: %d", len(sound.answers), cut)
 	return verdict(reached > 3)
 }
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -27,6 +27,7 @@
 	"mixed":   playMixed,
 	"drain":   playDrain,
 	"part":    playPart,
+	"denied":  playDenied,
 	"forget":  playForget,
 }
 
--- a/review/standins/part.go
+++ b/review/standins/part.go
@@ -16,6 +16,7 @@
 	// restartAfter is how long a crashed runner is down.
 	restartAfter = 2500 * time.Millisecond
 	deadlyPause  = 500 * time.Millisecond
+	soundClients = 24
 )
 
 // playPart sends streamed requests, of which some share a part under which runners crash
@@ -27,7 +28,7 @@
 	}
 	defer d.stop()
 	for range 9 {
-		r, err := d.addRunner("pool", 64, 192, 20*time.Millisecond, 15*time.Millisecond)
+		r, err := d.addRunner("pool", 64, 192, 20*time.Millisecond, 25*time.Millisecond)
 		if err != nil {
 			return notRun, err
 		}
@@ -43,11 +44,11 @@
 	end := time.Now().Add(partTraffic)
 	var sound, deadly prompts
 	var group sync.WaitGroup
-	for index := range 8 {
+	for index := range soundClients {
 		group.Go(func() { d.sendPrompts(&sound, index, end, 100*time.Millisecond, "") })
 	}
-	group.Go(func() { d.sendPrompts(&deadly, 8, end, deadlyPause, deadlyPart) })
-	group.Go(func() { d.sendPrompts(&deadly, 9, end, deadlyPause, deadlyPart) })
+	group.Go(func() { d.sendPrompts(&deadly, 0, end, deadlyPause, deadlyPart) })
+	group.Go(func() { d.sendPrompts(&deadly, 1, end, deadlyPause, deadlyPart) })
 	group.Wait()
 	return d.judgePart(&sound, &deadly), nil
 }
@@ -76,8 +77,12 @@
 	answers []answer
 }
 
+// usage of a streamed request: tokens of its prompt, and at most 42 events.
+const promptUsage = "628,294"
+
 // sendPrompts sends one streamed request after the other. All of a client share its parts,
-// and the part that is given; the last one is its own.
+// and the part that is given; the last one is its own. Clients with an odd index use the
+// route whose streams may not be resumed.
 func (d *deployment) sendPrompts(kept *prompts, index int, end time.Time, pause time.Duration, part string) {
 	c := &client{router: d.routers[index%len(d.routers)].front, log: d.log}
 	defer c.drop()
@@ -89,7 +94,11 @@
 			parts += fmt.Sprintf("topic%d:79,", index%4)
 		}
 		parts += fmt.Sprintf("own%d-%d:430", index, number)
-		a := c.send(request{method: "POST", path: "/draft/a", key: tenantKey, body: "prompt", deadline: 12 * time.Second, usage: "628,42", parts: parts})
+		path := "/draft/a"
+		if index%2 == 1 && part == "" {
+			path = "/query/a"
+		}
+		a := c.send(request{method: "POST", path: path, key: tenantKey, body: "prompt", deadline: 12 * time.Second, usage: promptUsage, parts: parts})
 		kept.mu.Lock()
 		kept.answers = append(kept.answers, a)
 		kept.mu.Unlock()
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -79,6 +79,8 @@
 	// extra returns bytes to send on the connection before the answer to its next
 	// request, or nothing. It is called after each answer.
 	extra func() string
+	// endless, if it returns true, makes an event of the answer go on without end.
+	endless func() bool
 	// deadly is a part of prompts under which the runner crashes, if it is set: after
 	// deadlyEvents events of its answer.
 	deadly       string
@@ -242,7 +244,7 @@
 		r.log.printf("%s sends %d extra bytes, left from an earlier answer, before the answer to %s: %q", r.name, len(pending.bytes), attempt, firstLine(pending.bytes))
 		_, _ = io.WriteString(conn, pending.bytes)
 	}
-	if strings.HasPrefix(request.URL.Path, "/draft/") {
+	if strings.HasPrefix(request.URL.Path, "/draft/") || strings.HasPrefix(request.URL.Path, "/query/") {
 		return r.stream(conn, request, attempt)
 	}
 	time.Sleep(r.work)
@@ -301,6 +303,9 @@
 	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	time.Sleep(r.work)
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: s.%s\r\nServer-Load: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", attempt, attempt, r.load())
+	if err == nil && r.endless != nil && r.endless() {
+		return r.sendWithoutEnd(conn, attempt)
+	}
 	last := eventsOf(request)
 	for number := first + 1; number <= last && err == nil; number++ {
 		if deadly && number > first+r.deadlyEvents {
@@ -325,3 +330,23 @@
 	r.log.printf("%s is answered whole by %s", attempt, r.name)
 	return true
 }
+
+// Bytes without end come at endlessBytes each endlessPause.
+const (
+	endlessBytes = 64 << 10
+	endlessPause = 20 * time.Millisecond
+)
+
+// sendWithoutEnd sends an event that goes on until the caller closes.
+func (r *runner) sendWithoutEnd(conn net.Conn, attempt string) bool {
+	r.log.printf("%s sends bytes without end to %s", r.name, attempt)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", endlessBytes, strings.Repeat("x", endlessBytes))
+	_, err := io.WriteString(conn, "6\r\ndata: \r\n")
+	sent := 0
+	for ; err == nil; sent += endlessBytes {
+		_, err = io.WriteString(conn, chunk)
+		time.Sleep(endlessPause)
+	}
+	r.log.printf("%s: the caller of %s closed after %d bytes", r.name, attempt, sent)
+	return false
+}
