--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Plays the case. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# TROUBLE=0 leaves out the disruption; the stand-ins read it.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
