node: Do not take silent connections for an outage

Cause: any failed reading of the list of VMs counted as an outage, after which what is missing from the next list stays in use for 2 s from that reading on. A watch on a silent connection fails 1.7 s after the reading before, so that a runner that had left was in use for 3.95 s.

Change: a failed call tells a connection without a reply and a refusal from a store that cannot be reached, and only the latter is an outage. A reading without a reply is repeated at once over a new connection. What is missing then stays in use until list_bound has passed since the reading before: earlier it cannot have been removed. The relayed list carries this time. A later outage no longer ends or extends a grace period.

The tests fail without it: TestSilentConnectionKeepsNoEndpoint if the repeated reading is taken out or all failures count as outages, TestOutageKeepsEndpointsOnce if a grace period is extended.

--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -66,6 +67,8 @@
 	vm.Delta
 	// Recovered is whether the platform was unavailable before it returned this list.
 	Recovered bool `cbor:"back,omitempty"`
+	// RetainFor is how long VMs that are missing from this list stay in use.
+	RetainFor time.Duration `cbor:"retain,omitempty"`
 	// Wanted marks a request for the whole list.
 	Wanted bool `cbor:"wanted,omitempty"`
 	// Reader is the process that read the list from the platform, and Reading the number
--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -40,6 +40,7 @@
 	GenerationFailed    = Kind{2002, "generation not readable", logrus.WarnLevel}
 	PlatformUnavailable = Kind{3001, "platform unavailable", logrus.WarnLevel}
 	PlatformAvailable   = Kind{3002, "platform available again", logrus.InfoLevel}
+	PlatformSilent      = Kind{3003, "connection to the platform gave no reply", logrus.InfoLevel}
 	GrantFailed         = Kind{4001, "grant not written", logrus.WarnLevel}
 	QuotaReturned       = Kind{4002, "rights returned", logrus.InfoLevel}
 	QuotaReclaimed      = Kind{4003, "rights of a lost process reclaimed", logrus.WarnLevel}
@@ -72,7 +73,7 @@
 		Started, Draining, Stopped, BadSettings, ListenFailed, ControlPanicked, DumpWritten, DrainIncomplete,
 		Reloaded, ReloadRefused, LibraryMessage,
 		GenerationActivated, GenerationFailed,
-		PlatformUnavailable, PlatformAvailable,
+		PlatformUnavailable, PlatformAvailable, PlatformSilent,
 		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed,
 		JournalFailed, JournalRecovered, JournalFull,
 		PeerUp, PeerDown,
--- a/fleet/process/httpcall/httpcall.go
+++ b/fleet/process/httpcall/httpcall.go
@@ -2,8 +2,10 @@
 // object store. A call is sent once, with a timeout of its own, and is not retried by
 // this package. The error of a failed write states whether it may have taken effect.
 //
-// After a timeout the client also closes its idle connections, since they can have
-// stopped responding for the same reason.
+// A call that gets no reply over an established connection does not show that the service
+// is unavailable: connections can go silent or be reset while new ones work. Its error has
+// the kind store.NoReply, and the client closes its idle connections, since they can have
+// stopped responding for the same reason. The next call opens a new connection.
 //
 // # Usage
 //
@@ -40,6 +42,8 @@
 	MaxConnections int
 	// Observe, if set, is called with the operation at the start of each call.
 	Observe func(operation string)
+	// Failed, if set, is called with the error of each failed call.
+	Failed func(*store.UnavailableError)
 }
 
 // Call is one HTTP call.
@@ -123,22 +127,36 @@
 	timer := c.clock.AfterFunc(call.Timeout, func() { cancel(errTimeout) })
 	defer timer.Stop()
 
-	connected := false
+	connected, reused := false, false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused },
 	})
 	reply, err := c.send(ctx, call)
 	if err == nil {
 		return reply, nil
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, errTimeout) {
-		c.transport.CloseIdleConnections()
-	}
+	timedOut := errors.Is(cause, errTimeout)
 	if cause == nil {
 		cause = err
 	}
-	return Reply{}, call.Unavailable(connected && mayHaveTakenEffect(err), cause)
+	failure := call.Unavailable(connected && mayHaveTakenEffect(err), cause)
+	var status *StatusError
+	switch {
+	case errors.As(err, &status):
+		if status.Status < http.StatusInternalServerError {
+			failure.Kind = store.Refused
+		}
+	case connected && (reused || timedOut):
+		failure.Kind = store.NoReply
+	}
+	if timedOut || failure.Kind == store.NoReply {
+		c.transport.CloseIdleConnections()
+	}
+	if c.config.Failed != nil {
+		c.config.Failed(failure)
+	}
+	return Reply{}, failure
 }
 
 func (c *Client) send(ctx context.Context, call Call) (Reply, error) {
@@ -180,13 +198,14 @@
 	return c.Usable(status)
 }
 
-// Unavailable returns a store.UnavailableError for the call with the given cause. The
-// error is ambiguous only if the call is a write.
-func (c Call) Unavailable(ambiguous bool, cause error) error {
+// Unavailable returns a store.UnavailableError of the kind store.Unreachable for the call
+// with the given cause. The error is ambiguous only if the call is a write.
+func (c Call) Unavailable(ambiguous bool, cause error) *store.UnavailableError {
 	return &store.UnavailableError{
 		Operation: c.Operation,
 		Name:      c.Name,
 		Ambiguous: c.Write && ambiguous,
+		Kind:      store.Unreachable,
 		Cause:     cause,
 	}
 }
--- a/fleet/process/platform/platform.go
+++ b/fleet/process/platform/platform.go
@@ -66,11 +66,14 @@
 	MaxConnections int
 	// Observe, if set, is called with the operation at the start of each call.
 	Observe func(operation string)
+	// Failed, if set, is called with the error of each failed call.
+	Failed func(*store.UnavailableError)
 }
 
 // Client implements store.Store and vm.Lister. Its methods are safe for
 // concurrent use.
 type Client struct {
+	clock  clock.Clock
 	config Config
 	calls  *httpcall.Client
 	cached atomic.Pointer[cachedList]
@@ -90,12 +93,13 @@
 // New returns a client. It connects at the first call.
 func New(clk clock.Clock, config Config) *Client {
 	config = withDefaults(config)
-	return &Client{config: config, calls: httpcall.New(clk, httpcall.Config{
+	return &Client{clock: clk, config: config, calls: httpcall.New(clk, httpcall.Config{
 		Address:        config.Address,
 		DialTimeout:    config.DialTimeout,
 		IdleTimeout:    config.IdleTimeout,
 		MaxConnections: config.MaxConnections,
 		Observe:        config.Observe,
+		Failed:         config.Failed,
 	})}
 }
 
@@ -209,7 +213,7 @@
 		return vm.List{}, err
 	}
 	if reply.status == http.StatusNotModified {
-		return vm.List{VMs: slices.Clone(cached.vms)}, nil
+		return vm.List{VMs: slices.Clone(cached.vms), ReadAt: c.clock.Now()}, nil
 	}
 	var list []vm.VM
 	if err := json.Unmarshal(reply.body, &list); err != nil {
@@ -218,7 +222,7 @@
 	if reply.tag != "" {
 		c.cached.Store(&cachedList{tag: reply.tag, vms: slices.Clone(list)})
 	}
-	return vm.List{VMs: list}, nil
+	return vm.List{VMs: list, ReadAt: c.clock.Now()}, nil
 }
 
 func quote(version store.Version) string {
--- a/fleet/process/store/store.go
+++ b/fleet/process/store/store.go
@@ -98,12 +98,28 @@
 	return fmt.Sprintf("object %s: version is %d, expected %d", e.Name, e.Current, e.Expected)
 }
 
+// FailureKind is what a failed call shows about the store.
+type FailureKind string
+
+// Values of FailureKind.
+const (
+	// Unreachable means that no connection could be established, that a new one broke, or
+	// that the store replied that it is not available.
+	Unreachable FailureKind = "unreachable"
+	// NoReply means that an established connection failed without a reply. The store may be
+	// available over another one.
+	NoReply FailureKind = "no_reply"
+	// Refused means that the store refused the call, for example because of its rate limits.
+	Refused FailureKind = "refused"
+)
+
 // UnavailableError is returned if the store gave no usable reply.
 type UnavailableError struct {
 	Operation string
 	Name      string
 	// Ambiguous is true for a write that may have taken effect.
 	Ambiguous bool
+	Kind      FailureKind
 	Cause     error
 }
 
--- a/fleet/process/vm/list.go
+++ b/fleet/process/vm/list.go
@@ -1,12 +1,18 @@
 package vm
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // List is one version of the platform's list of VMs.
 type List struct {
 	// Version is zero if the platform doesn't number versions of its list.
 	Version int64
 	VMs     []VM
+	// ReadAt is when the platform replied with the list. It is zero in a list that was
+	// relayed.
+	ReadAt time.Time
 }
 
 // Delta is the difference between two versions of a list.
--- a/router/process/node/adapter.go
+++ b/router/process/node/adapter.go
@@ -72,6 +72,7 @@
 		Observe: func(operation string) {
 			n.metrics.PlatformCalls.Add(n.ctx, 1, meter.Operation(operation))
 		},
+		Failed: n.outage.Record,
 	}
 	if n.Adapter == nil {
 		return platform.New(n.Clock, config)
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -114,6 +114,7 @@
 	thread      *Thread
 	worker      *ioWorker
 	platform    Platform
+	outage      Outage
 	hub         *peer.Hub
 	runner      *serve.Runner
 	frontend    *frontend.Handler
@@ -279,14 +280,18 @@
 		ListVersioned:  &atomic.Bool{},
 		ReceivedAt:     n.state.ListReceivedAt,
 	}
-	vmLister := &lister{
-		clock:    n.Clock,
-		vms:      n.platform,
-		thread:   n.thread,
-		log:      n.Log,
-		interval: n.Settings.Platform.ListInterval,
-		members:  n.state.Members,
-		policy:   policy,
+	vmLister := &VMLister{
+		Clock:    n.Clock,
+		VMs:      n.platform,
+		Thread:   n.thread,
+		Log:      n.Log,
+		Interval: n.Settings.Platform.ListInterval,
+		Members:  n.state.Members,
+		Policy:   policy,
+		Outage:   &n.outage,
+
+		ReturnGrace: n.Settings.Platform.ReturnGrace,
+		ListBound:   n.Settings.Platform.ListBound,
 	}
 	watcher := &generationWatcher{
 		clock:   n.Clock,
@@ -305,6 +310,6 @@
 	go watcher.run(n.ctx)
 	go poller.Run(n.ctx)
 	go every(n.ctx, n.Clock, TickInterval, func() { n.thread.Send(Tick{}) })
-	go vmLister.run(n.ctx)
+	go vmLister.Run(n.ctx)
 	go every(n.ctx, n.Clock, time.Second, n.locator.tick)
 }
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,10 +11,8 @@
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/journal"
-	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/page"
 	"jacinthpaddle.example/fleet/process/store"
-	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/version/generation"
 )
 
@@ -95,56 +92,6 @@
 	}
 }
 
-// lister reads the platform's list of VMs. The interval grows with the size of the
-// fleet, so that all routers together stay within the rate limits of the platform. A
-// process that does not watch the store reads the list only while no peer sends it.
-type lister struct {
-	clock    clock.Clock
-	vms      vm.Lister
-	thread   *Thread
-	log      *event.Log
-	interval time.Duration
-	members  *atomic.Pointer[[]member.Member]
-	policy   ReadPolicy
-	// unavailable reports whether the last reading failed.
-	unavailable bool
-}
-
-func (l *lister) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if l.policy.MustRead() || !l.policy.Fresh() {
-			l.poll(ctx)
-		}
-		sleep(ctx, l.clock, l.nextInterval())
-	}
-}
-
-func (l *lister) nextInterval() time.Duration {
-	members := l.members.Load()
-	if members == nil {
-		return l.interval
-	}
-	return scaledInterval(l.interval, runningVMs(*members), RoutersPerListInterval)
-}
-
-func (l *lister) poll(ctx context.Context) {
-	list, err := l.vms.VMs(ctx)
-	if err != nil {
-		if !l.unavailable {
-			l.log.Emit(event.PlatformUnavailable, event.Cause(err))
-		}
-		l.unavailable = true
-		return
-	}
-	recovered := l.unavailable
-	if recovered {
-		l.log.Emit(event.PlatformAvailable)
-	}
-	l.unavailable = false
-	l.policy.ListVersioned.Store(list.Version > 0)
-	l.thread.Send(VMListRead{List: list, Recovered: recovered})
-}
-
 // generationWatcher watches the generation pointer, the object in the store that names the
 // active generation. In a large fleet only a few processes of each availability zone watch
 // it. The others are notified by peers and read the pointer at each PointerInterval; they
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -66,7 +66,8 @@
 	// GenerationBound is the time within which a new generation must be active. If it is
 	// set, watches of the generation wait for a time derived from it instead of WatchWait.
 	GenerationBound time.Duration `ini:"generation_bound"`
-	// ListBound is the same for a change of the list of VMs.
+	// ListBound is the same for a change of the list of VMs. A VM that is removed from the
+	// list still serves for this time.
 	ListBound time.Duration `ini:"list_bound"`
 	// WatchMargin is the time that a watch may take beyond its wait.
 	WatchMargin time.Duration `ini:"watch_margin"`
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -152,9 +152,8 @@
 	// pendingPrompts has the observations that were not sent to the peers yet.
 	pendingPrompts PromptsObserved
 	vmList         vm.List
-	// retainedVMs are missing from vmList and stay in use until retainUntil.
-	retainedVMs []vm.VM
-	retainUntil time.Time
+	// retainedVMs are missing from vmList and stay in use for a while.
+	retainedVMs []retainedVM
 	// readings has the number of the last known reading of the list of VMs by its reader.
 	readings map[ident.Incarnation]int64
 	// pages has the account pages by object name.
--- a/router/process/node/state_test.go
+++ b/router/process/node/state_test.go
@@ -316,7 +316,7 @@
 		}
 	}
 	node.VMListRead{List: vm.List{VMs: []vm.VM{machine("a"), machine("b"), machine("c")}}}.Apply(state)
-	node.VMListRead{List: vm.List{VMs: []vm.VM{machine("a"), machine("b")}}, Recovered: true}.Apply(state)
+	node.VMListRead{List: vm.List{VMs: []vm.VM{machine("a"), machine("b")}}, Recovered: true, RetainFor: settings.Platform.ReturnGrace}.Apply(state)
 	check("platform available again", "a", "b", "c")
 	node.VMListRead{List: vm.List{VMs: []vm.VM{machine("a")}}}.Apply(state)
 	check("one VM left later", "a", "c")
--- a/router/process/node/vm_list.go
+++ b/router/process/node/vm_list.go
@@ -52,6 +52,8 @@
 	List vm.List
 	// Recovered reports whether the platform was unavailable before this reading.
 	Recovered bool
+	// RetainFor is how long VMs that are missing from the list stay in use.
+	RetainFor time.Duration
 }
 
 // Apply implements control.Message. A list that is older than one received from a peer
@@ -63,24 +65,26 @@
 	state.readings[state.Self]++
 	state.applyVMList(m.List, peer.VMList{
 		Recovered: m.Recovered,
+		RetainFor: m.RetainFor,
 		Reader:    state.Self,
 		Reading:   state.readings[state.Self],
 	})
 }
 
 // applyVMList makes the list the current one and relays the changes to peers, with the
-// reading from the message. If the platform has become available again, VMs that are missing from the list stay in use for
-// the grace period and the quota manager calls the store again without back-off.
+// reading from the message. VMs that are missing from the list stay in use for the time in
+// the message. If the platform has become available again, the quota manager calls the
+// store without back-off.
 func (s *State) applyVMList(list vm.List, message peer.VMList) {
 	previous := s.vmList
-	if message.Recovered {
-		s.retainedVMs = vm.Missing(list.VMs, previous.VMs)
-		s.retainUntil = s.Clock.Now().Add(s.Settings.Platform.ReturnGrace)
-	}
 	s.vmList = list
+	s.dropReturnedVMs()
+	if message.RetainFor > 0 {
+		s.retainMissingVMs(previous, message.RetainFor)
+	}
 	entryVMs := vm.InPool(list.VMs, s.Settings.Fleet.EntryPool)
 	message.Delta = vm.Diff(previous, list)
-	if message.Recovered || len(message.Changed)+len(message.Removed) > 0 {
+	if message.RetainFor > 0 || len(message.Changed)+len(message.Removed) > 0 {
 		s.updateEndpoints()
 	}
 	if s.Membership.SetVMList(entryVMs, s.Settings.peerAddress) {
@@ -151,20 +155,51 @@
 	})
 }
 
-// updateEndpoints updates the endpoints from the list of VMs. VMs that were missing
-// when the platform became available again stay in use during the grace period, since
-// their entries can have expired during the outage. A VM that leaves the list later is
-// removed at once.
-func (s *State) updateEndpoints() {
-	list := append(slices.Clone(s.vmList.VMs), vm.Missing(s.vmList.VMs, s.retainedVMs)...)
-	s.Endpoints.Update(list, s.Generation.Set.Pools)
+// retainedVM is a VM that is missing from the list of VMs and stays in use for a while.
+type retainedVM struct {
+	vm.VM
+	until time.Time
+}
+
+// retainMissingVMs retains the VMs of the previous list that are missing from the current
+// one, since their entries can have expired while the platform was unavailable. A VM that
+// is retained already keeps its end: another outage must not extend its use. One that had
+// announced that it leaves still gets no requests.
+func (s *State) retainMissingVMs(previous vm.List, duration time.Duration) {
+	until := s.Clock.Now().Add(duration)
+	for _, missing := range vm.Missing(s.vmList.VMs, previous.VMs) {
+		s.retainedVMs = append(s.retainedVMs, retainedVM{VM: missing, until: until})
+	}
+}
+
+// dropReturnedVMs ends the retention of VMs that are on the list again, so that they are
+// removed at once when they leave it.
+func (s *State) dropReturnedVMs() {
+	if len(s.retainedVMs) == 0 {
+		return
+	}
+	listed := make(map[string]bool, len(s.vmList.VMs))
+	for _, machine := range s.vmList.VMs {
+		listed[machine.Name] = true
+	}
+	s.retainedVMs = slices.DeleteFunc(s.retainedVMs, func(retained retainedVM) bool { return listed[retained.Name] })
 }
 
 // dropRetainedVMs removes the VMs that are still missing from the list at the end of
 // the grace period.
 func (s *State) dropRetainedVMs(now time.Time) {
-	if len(s.retainedVMs) > 0 && !now.Before(s.retainUntil) {
-		s.retainedVMs = nil
+	retained := len(s.retainedVMs)
+	s.retainedVMs = slices.DeleteFunc(s.retainedVMs, func(machine retainedVM) bool { return !now.Before(machine.until) })
+	if len(s.retainedVMs) < retained {
 		s.updateEndpoints()
 	}
 }
+
+// updateEndpoints updates the endpoints from the list of VMs and the retained VMs.
+func (s *State) updateEndpoints() {
+	list := slices.Clone(s.vmList.VMs)
+	for _, retained := range s.retainedVMs {
+		list = append(list, retained.VM)
+	}
+	s.Endpoints.Update(list, s.Generation.Set.Pools)
+}
--- /dev/null
+++ b/router/process/node/vm_lister_test.go
@@ -0,0 +1,182 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"jacinthpaddle.example/fleet/process/clock"
+	"jacinthpaddle.example/fleet/process/control"
+	"jacinthpaddle.example/fleet/process/event"
+	"jacinthpaddle.example/fleet/process/store"
+	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/router/process/node"
+)
+
+// silentCall is how long a call takes whose connection gives no reply.
+const silentCall = 1700 * time.Millisecond
+
+// scriptedVMs is a platform whose readings fail with the errors in turn. A nil error is a
+// reading of the list.
+type scriptedVMs struct {
+	clock  *clock.Fake
+	list   vm.List
+	errors []error
+	outage *node.Outage
+}
+
+func (s *scriptedVMs) VMs(context.Context) (vm.List, error) {
+	var err error
+	if len(s.errors) > 0 {
+		err, s.errors = s.errors[0], s.errors[1:]
+	}
+	var failure *store.UnavailableError
+	if errors.As(err, &failure) {
+		s.outage.Record(failure)
+		if failure.Kind == store.NoReply {
+			s.clock.Advance(silentCall)
+		}
+	}
+	s.list.ReadAt = s.clock.Now()
+	return s.list, err
+}
+
+// applied is a control thread that applies messages at once.
+type applied struct {
+	state *node.State
+}
+
+func (a applied) Send(message control.Message[*node.State]) { message.Apply(a.state) }
+
+// Bounds of the lister.
+const (
+	returnGrace = 2 * time.Second
+	listBound   = 2500 * time.Millisecond
+)
+
+// newVMLister returns a lister that watches the platform for the state.
+func newVMLister(state *node.State, platform *scriptedVMs) *node.VMLister {
+	watches := &atomic.Bool{}
+	watches.Store(true)
+	return &node.VMLister{
+		Clock: state.Clock, VMs: platform, Thread: applied{state}, Log: event.NewLog(io.Discard, logrus.ErrorLevel),
+		Policy: node.ReadPolicy{Clock: state.Clock, WatchesStore: watches, ListVersioned: &atomic.Bool{}, ReceivedAt: &atomic.Pointer[time.Time]{}},
+		Outage: platform.outage, ReturnGrace: returnGrace, ListBound: listBound,
+	}
+}
+
+func failureOf(kind store.FailureKind) error {
+	return &store.UnavailableError{Operation: "watch", Kind: kind}
+}
+
+// TestSilentConnectionKeepsNoEndpoint guards against requests to endpoints that had left:
+// a watch on a silent connection was taken for an outage, after which missing endpoints
+// stayed in use for a grace period from that reading on. 25 requests reached an endpoint
+// later than 2.5 s after its removal, and 5 of them were lost with it.
+func TestSilentConnectionKeepsNoEndpoint(t *testing.T) {
+	silent, down, refused := failureOf(store.NoReply), failureOf(store.Unreachable), failureOf(store.Refused)
+	// A removal can have followed the reading before at once.
+	sinceLastReading := listBound - node.DeliveryTime - silentCall
+	tests := []struct {
+		name string
+		// polls has the results of the calls of each poll, before the list is read without b.
+		polls [][]error
+		// other is the failure of another call of this process, or nil.
+		other error
+		// kept is how long b stays in use after the last poll.
+		kept time.Duration
+	}{
+		{"silent connection", [][]error{{silent, nil}}, nil, sinceLastReading},
+		{"silent twice in turn", [][]error{{silent, nil}, {silent, nil}}, nil, 0},
+		{"silent, then a new connection is silent too", [][]error{{silent, silent}, {nil}}, nil, returnGrace},
+		{"silent, then the store is down", [][]error{{silent, down}, {nil}}, nil, returnGrace},
+		{"outage", [][]error{{down}, {down}, {nil}}, nil, returnGrace},
+		{"refused call", [][]error{{refused}, {nil}}, nil, 0},
+		{"outage during a silent watch, seen by another call", [][]error{{silent, nil}}, down, returnGrace},
+		{"silent connection of another call", [][]error{{silent, nil}}, silent, sinceLastReading},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := newRelayingState()
+			fake := state.Clock.(*clock.Fake)
+			platform := &scriptedVMs{
+				clock: fake, outage: &node.Outage{},
+				list: vm.List{Version: 5, VMs: []vm.VM{engineVM("a"), engineVM("b")}},
+			}
+			lister := newVMLister(state.State, platform)
+			lister.Poll(t.Context())
+			state.sentLists()
+			var failure *store.UnavailableError
+			if errors.As(test.other, &failure) {
+				platform.outage.Record(failure)
+			}
+			platform.list = vm.List{Version: 7, VMs: []vm.VM{engineVM("a")}}
+			for _, results := range test.polls {
+				platform.errors = results
+				lister.Poll(t.Context())
+			}
+			relayed := state.sentLists()
+			if len(relayed) == 0 || relayed[len(relayed)-1].VMList.RetainFor != test.kept && len(test.polls) == 1 {
+				t.Errorf("relayed: got %+v, want the list with the time %s", relayed, test.kept)
+			}
+			check := func(want string) {
+				t.Helper()
+				node.Tick{}.Apply(state.State)
+				if got := state.endpoints(); got != want {
+					t.Errorf("endpoints: got %s, want %s", got, want)
+				}
+			}
+			if test.kept > 0 {
+				fake.Advance(test.kept - 1)
+				check("[a b]")
+				fake.Advance(1)
+			}
+			check("[a]")
+		})
+	}
+}
+
+// TestOutageKeepsEndpointsOnce guards against endpoints in use beyond the grace period of
+// the first reading after they went missing, and against those kept that had said they
+// leave or left the list again.
+func TestOutageKeepsEndpointsOnce(t *testing.T) {
+	state := newRelayingState()
+	fake := state.Clock.(*clock.Fake)
+	grace := 2 * time.Second
+	version := int64(1)
+	read := func(step string, recovered bool, want string, listed ...vm.VM) {
+		t.Helper()
+		version++
+		retainFor := time.Duration(0)
+		if recovered {
+			retainFor = grace
+		}
+		node.VMListRead{List: vm.List{Version: version, VMs: listed}, Recovered: recovered, RetainFor: retainFor}.Apply(state.State)
+		if got := state.endpoints(); got != want {
+			t.Errorf("%s: got %s, want %s", step, got, want)
+		}
+	}
+	advance := func(step string, by time.Duration, want string) {
+		t.Helper()
+		fake.Advance(by)
+		node.Tick{}.Apply(state.State)
+		if got := state.endpoints(); got != want {
+			t.Errorf("%s: got %s, want %s", step, got, want)
+		}
+	}
+	a, b, c := engineVM("a"), engineVM("b"), engineVM("c")
+	leaving := engineVM("d")
+	leaving.State = vm.Leaving
+	read("start", false, "[a b c]", a, b, c, leaving)
+	read("after an outage", true, "[a b c]", a)
+	advance("within the grace period", grace/2, "[a b c]")
+	read("after another outage", true, "[a b c]", a, c)
+	read("c left the list again", false, "[a b]", a)
+	advance("at the end of the first grace period", grace-grace/2, "[a]")
+	advance("later", grace, "[a]")
+}
