quarantine: Clear a part by a whole response, not by one that begins

Cause: the package assumed that a runner crashes before it has written anything. A response that begins cleared its parts, one that breaks later was no failure, and was resumed at the next runner.

Change: no response with such a part ends whole, wherever the crash comes. A connection that breaks before the end of a response is a failure; only a successful, delimited response that has ended clears its parts and voids failures for 5 s, so that a crash of many runners makes no common part a suspect. Reports carry ages and count the same in any order. Crashes are numbered: a sound part whose failures lie in the crashes of a stronger suspect is not refused. A broken stream is resumed unless two other runners crashed with one of its parts.

Tests that said otherwise were replaced. 'after an event' had no failure and now has one, and parts are reported at the end of a response instead of its beginning; TestBegunResponsesClear- SharedParts is TestWholeResponsesClearSharedParts with the same checks. View.Suspects, of no use now, went with its check.

--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -78,10 +78,11 @@
 	Reading int64             `cbor:"reading,omitempty"`
 }
 
-// Prompts carries failed requests, and parts of prompts under which a response has begun.
+// Prompts carries failed requests, and whole responses to requests with parts that were
+// suspects.
 type Prompts struct {
 	Failures []quarantine.Failure `cbor:"failures,omitempty"`
-	Cleared  []quarantine.Part    `cbor:"cleared,omitempty"`
+	Whole    []quarantine.Whole   `cbor:"whole,omitempty"`
 }
 
 // Hello is the first message on a link. It carries the sender's own record and the digest
--- a/fleet/process/quarantine/quarantine.go
+++ b/fleet/process/quarantine/quarantine.go
@@ -1,20 +1,29 @@
 // Package quarantine finds parts of prompts under which endpoints crash, so that
 // requests with such a part can be refused.
 //
-// A request whose connection breaks before its response has begun is a suspect, and so
-// is each part of its prompt that other requests share. A part under which any response
-// begins is cleared: an endpoint that crashes because of a part does so before it has
-// written anything. A part that is a suspect of enough requests and crashes is
-// quarantined.
+// A request whose connection breaks before its response has ended is a suspect, and so is
+// each part of its prompt that other requests share. An endpoint may crash at any point of
+// a response, so that only a whole response shows that its parts are sound. A part that is
+// a suspect of enough requests and crashes since then is quarantined.
+//
+// A crash cuts off sound requests as well. Their parts are suspects too, until another
+// response with them ends, but the crashes are explained by the part that failed in all of
+// them and in more.
 //
 // Requests with one part arrive at any process, so that processes exchange failures and
-// cleared parts. A Tracker belongs to the control thread; traffic reads its View.
+// cleared parts. They may do so in any order: a process that knows a part as sound ignores
+// failures with it and tells its peers. A Tracker belongs to the control thread; traffic
+// reads its View.
 //
 // # Usage
 //
-//	if tracker.Add(failure, now) || tracker.Clear(part) {
+//	if added, sound := tracker.Add(failure, now); added {
+//		publish(tracker.View())
+//		forwardToPeers(failure, sound)
+//	}
+//	if tracker.Clear(whole, now) {
 //		publish(tracker.View())
-//		forwardToPeers(failure, part)
+//		forwardToPeers(whole)
 //	}
 //	tracker.Expire(now)
 //
@@ -35,7 +44,7 @@
 type Part string
 
 // Failure reports that the connection to an endpoint broke before the response to a
-// request had begun.
+// request had ended.
 type Failure struct {
 	Request  ident.Request `cbor:"request"`
 	Endpoint string        `cbor:"endpoint"`
@@ -45,6 +54,13 @@
 	Age time.Duration `cbor:"age"`
 }
 
+// Whole reports that a response to a request with the part ended whole.
+type Whole struct {
+	Part Part `cbor:"part"`
+	// Age is the time since the end of the response.
+	Age time.Duration `cbor:"age"`
+}
+
 // Config sets the thresholds of a Tracker.
 type Config struct {
 	// MinRequests is the number of different requests that must have failed with a part.
@@ -57,6 +73,9 @@
 	// CrashInterval separates two crashes of an endpoint that starts again under its
 	// name.
 	CrashInterval time.Duration
+	// SoundFor is how long after a whole response failures with its parts do not count, so
+	// that a simultaneous crash of many endpoints makes no common part a suspect.
+	SoundFor time.Duration
 	// Memory is how long a failure counts.
 	Memory time.Duration
 	// MaxParts bounds the number of suspects.
@@ -66,6 +85,8 @@
 	// MaxKnown bounds the attempts in Tracker.Known. Further failures are ignored until
 	// older ones are forgotten.
 	MaxKnown int
+	// MaxSound bounds the parts in Tracker.Sound.
+	MaxSound int
 }
 
 // DefaultMemory is how long a failure counts by default.
@@ -79,10 +100,12 @@
 		MinCrashes:    3,
 		MinEndpoints:  2,
 		CrashInterval: time.Second,
+		SoundFor:      5 * time.Second,
 		Memory:        DefaultMemory,
 		MaxParts:      1024,
 		MaxFailures:   16,
 		MaxKnown:      16_384,
+		MaxSound:      4096,
 	}
 }
 
@@ -96,6 +119,14 @@
 type Suspicion struct {
 	Attempt
 	At time.Time `json:"at"`
+	// Crash is the number of the crash in which the attempt failed.
+	Crash int `json:"crash"`
+}
+
+// Crash is a crash of an endpoint, in which several attempts may have failed.
+type Crash struct {
+	Number int       `json:"number"`
+	At     time.Time `json:"at"`
 }
 
 // Tracker holds the suspects. It is not safe for concurrent use.
@@ -107,27 +138,59 @@
 	// cleared since: peers pass a failure on in several ways, and its last copy can arrive
 	// after the parts were cleared.
 	Known map[Attempt]time.Time
+	// Sound has the time of the last whole response with each part.
+	Sound map[Part]time.Time
+	// Crashes has the crashes of each endpoint.
+	Crashes map[string][]Crash
+
+	// crashes is the number of crashes so far.
+	crashes int
 }
 
 // New returns a tracker without suspects.
 func New(config Config) *Tracker {
-	return &Tracker{Config: config, Suspects: make(map[Part][]Suspicion), Known: make(map[Attempt]time.Time)}
+	return &Tracker{
+		Config:   config,
+		Suspects: make(map[Part][]Suspicion),
+		Known:    make(map[Attempt]time.Time),
+		Sound:    make(map[Part]time.Time),
+		Crashes:  make(map[string][]Crash),
+	}
 }
 
-// Add counts a failure against the parts of its request and reports whether it was not
-// known yet.
-func (t *Tracker) Add(failure Failure, now time.Time) bool {
+// Add counts a failure against the parts of its request. It reports whether the failure was
+// not known yet, and returns the whole responses because of which it does not count against
+// some of the parts.
+func (t *Tracker) Add(failure Failure, now time.Time) (added bool, sound []Whole) {
 	attempt := Attempt{Request: failure.Request, Endpoint: failure.Endpoint}
 	_, known := t.Known[attempt]
 	if known || failure.Age < 0 || failure.Age >= t.Config.Memory || len(t.Known) >= t.Config.MaxKnown {
-		return false
+		return false, nil
 	}
-	suspicion := Suspicion{Attempt: attempt, At: now.Add(-failure.Age)}
-	t.Known[attempt] = suspicion.At
+	at := now.Add(-failure.Age)
+	t.Known[attempt] = at
+	suspicion := Suspicion{Attempt: attempt, At: at, Crash: t.crashOf(failure.Endpoint, at)}
 	for _, part := range failure.Parts {
+		if wholeAt, ok := t.Sound[part]; ok && at.Sub(wholeAt) < t.Config.SoundFor {
+			sound = append(sound, Whole{Part: part, Age: now.Sub(wholeAt)})
+			continue
+		}
 		t.addSuspicion(part, suspicion)
 	}
-	return true
+	return true, sound
+}
+
+// crashOf returns the number of the crash of the endpoint at the time, and records the
+// crash if it is a new one.
+func (t *Tracker) crashOf(endpoint string, at time.Time) int {
+	for _, crash := range t.Crashes[endpoint] {
+		if at.Sub(crash.At).Abs() < t.Config.CrashInterval {
+			return crash.Number
+		}
+	}
+	t.crashes++
+	t.Crashes[endpoint] = append(t.Crashes[endpoint], Crash{Number: t.crashes, At: at})
+	return t.crashes
 }
 
 func (t *Tracker) addSuspicion(part Part, suspicion Suspicion) {
@@ -164,21 +227,40 @@
 	return failures[len(failures)-1].At.Before(others[len(others)-1].At)
 }
 
-// Clear drops a part under which a response has begun, and reports whether it was a
-// suspect.
-func (t *Tracker) Clear(part Part) bool {
-	_, known := t.Suspects[part]
-	delete(t.Suspects, part)
-	return known
+// Clear records a whole response and drops the failures against its part that do not count
+// because of it. It reports whether there were any.
+func (t *Tracker) Clear(whole Whole, now time.Time) bool {
+	at := now.Add(-whole.Age)
+	earlier, recorded := t.Sound[whole.Part]
+	if whole.Age < 0 || whole.Age >= t.Config.Memory || recorded && !at.After(earlier) {
+		return false
+	}
+	if recorded || len(t.Sound) < t.Config.MaxSound {
+		t.Sound[whole.Part] = at
+	}
+	failures := t.Suspects[whole.Part]
+	kept := slices.DeleteFunc(slices.Clone(failures), func(s Suspicion) bool { return s.At.Sub(at) < t.Config.SoundFor })
+	if len(kept) == 0 {
+		delete(t.Suspects, whole.Part)
+	} else {
+		t.Suspects[whole.Part] = kept
+	}
+	return len(kept) < len(failures)
 }
 
-// Expire drops the failures that are older than Config.Memory and reports whether there
-// were any.
+// Expire drops what is older than Config.Memory and reports whether there were any
+// failures that counted.
 func (t *Tracker) Expire(now time.Time) bool {
-	maps.DeleteFunc(t.Known, func(_ Attempt, at time.Time) bool { return now.Sub(at) >= t.Config.Memory })
+	isOld := func(at time.Time) bool { return now.Sub(at) >= t.Config.Memory }
+	maps.DeleteFunc(t.Known, func(_ Attempt, at time.Time) bool { return isOld(at) })
+	maps.DeleteFunc(t.Sound, func(_ Part, at time.Time) bool { return isOld(at) })
+	for endpoint, crashes := range t.Crashes {
+		t.Crashes[endpoint] = slices.DeleteFunc(crashes, func(crash Crash) bool { return isOld(crash.At) })
+	}
+	maps.DeleteFunc(t.Crashes, func(_ string, crashes []Crash) bool { return len(crashes) == 0 })
 	expired := false
 	for part, known := range t.Suspects {
-		switch first := slices.IndexFunc(known, func(s Suspicion) bool { return now.Sub(s.At) < t.Config.Memory }); first {
+		switch first := slices.IndexFunc(known, func(s Suspicion) bool { return !isOld(s.At) }); first {
 		case 0:
 			continue
 		case -1:
@@ -211,16 +293,11 @@
 	if len(known) < t.Config.MinRequests {
 		return false
 	}
-	requests := make(map[ident.Request]bool)
-	lastCrash := make(map[string]time.Time)
-	crashes := 0
+	requests, endpoints, crashes := make(map[ident.Request]bool), make(map[string]bool), make(map[int]bool)
 	for _, suspicion := range known {
 		requests[suspicion.Request] = true
-		last, crashed := lastCrash[suspicion.Endpoint]
-		if !crashed || suspicion.At.Sub(last) >= t.Config.CrashInterval {
-			crashes++
-			lastCrash[suspicion.Endpoint] = suspicion.At
-		}
+		endpoints[suspicion.Endpoint] = true
+		crashes[suspicion.Crash] = true
 	}
-	return len(requests) >= t.Config.MinRequests && crashes >= t.Config.MinCrashes && len(lastCrash) >= t.Config.MinEndpoints
+	return len(requests) >= t.Config.MinRequests && len(crashes) >= t.Config.MinCrashes && len(endpoints) >= t.Config.MinEndpoints
 }
--- a/fleet/process/quarantine/quarantine_test.go
+++ b/fleet/process/quarantine/quarantine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -48,15 +47,22 @@
 	}
 }
 
+// clears returns whether a whole response with the part that ends at the time clears it.
+func clears(tracker *quarantine.Tracker, part quarantine.Part, now time.Time) bool {
+	return tracker.Clear(quarantine.Whole{Part: part}, now)
+}
+
 // Sound requests share the other parts of the prompts that crash endpoints. They are
-// cleared by the responses that begin meanwhile.
-func TestBegunResponsesClearSharedParts(t *testing.T) {
+// cleared by the responses that end meanwhile.
+func TestWholeResponsesClearSharedParts(t *testing.T) {
 	tracker := quarantine.New(quarantine.Defaults())
+	now := start
 	for number := range 4 {
-		tracker.Add(crash(fmt.Sprint(number), fmt.Sprint("endpoint-", number), "shared", "deadly"), start)
-		if !tracker.Clear("shared") {
+		tracker.Add(crash(fmt.Sprint(number), fmt.Sprint("endpoint-", number), "shared", "deadly"), now)
+		if !clears(tracker, "shared", now) {
 			t.Error("clear after a failure: got no change, want one")
 		}
+		now = now.Add(tracker.Config.SoundFor)
 	}
 	view := tracker.View()
 	if _, got := view.Quarantined([]quarantine.Part{"shared"}); got {
@@ -65,23 +71,102 @@
 	if got, _ := view.Quarantined([]quarantine.Part{"shared", "deadly"}); got != "deadly" {
 		t.Errorf("quarantined part: got %q, want deadly", got)
 	}
-	if tracker.Clear("shared") {
+	if clears(tracker, "shared", now) {
 		t.Error("repeated clear: got a change, want none")
 	}
-	// A crash of all endpoints makes every part a suspect until a response begins.
-	if !tracker.Clear("deadly") || len(tracker.View().Groups) != 0 {
+	if !clears(tracker, "deadly", now) || len(tracker.View().Groups) != 0 {
 		t.Error("clear of a quarantined part: got it kept, want it dropped")
 	}
 }
 
+// TestOrderOfReportsDoesNotMatter guards against a part that stays a suspect because the
+// failure arrives after the whole response that voids it, or as many others do, before.
+func TestOrderOfReportsDoesNotMatter(t *testing.T) {
+	soundFor := quarantine.Defaults().SoundFor
+	tests := []struct {
+		name string
+		// after is the time from the whole response to the failures.
+		after time.Duration
+		want  bool
+	}{
+		{"failures before the response", -time.Second, false},
+		{"failures just after it", soundFor - 1, false},
+		{"failures later", soundFor, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := start.Add(time.Minute)
+			whole := quarantine.Whole{Part: "p", Age: 20 * time.Second}
+			failed := func(tracker *quarantine.Tracker) {
+				for number := range 3 {
+					failure := crash(fmt.Sprint(number), fmt.Sprint("endpoint-", number), "p")
+					failure.Age = whole.Age - test.after
+					tracker.Add(failure, now)
+				}
+			}
+			failedFirst, wholeFirst := quarantine.New(quarantine.Defaults()), quarantine.New(quarantine.Defaults())
+			failed(failedFirst)
+			failedFirst.Clear(whole, now)
+			wholeFirst.Clear(whole, now)
+			failed(wholeFirst)
+			for order, tracker := range map[string]*quarantine.Tracker{"failures first": failedFirst, "response first": wholeFirst} {
+				if _, got := tracker.View().Quarantined([]quarantine.Part{"p"}); got != test.want {
+					t.Errorf("%s: got quarantined %t, want %t", order, got, test.want)
+				}
+			}
+		})
+	}
+}
+
+// TestSoundPartThatCrashesCutOffIsNotQuarantined guards against a rare sound part whose
+// requests were cut off by others' crashes before any of them ended. Endpoints start again
+// under their names, so that the crashes differ and not the endpoints.
+func TestSoundPartThatCrashesCutOffIsNotQuarantined(t *testing.T) {
+	tracker := quarantine.New(quarantine.Defaults())
+	now := start
+	for number := range 6 {
+		endpoint := fmt.Sprint("endpoint-", number%2)
+		tracker.Add(crash(fmt.Sprint("deadly-", number), endpoint, "shared", "deadly"), now)
+		if number < 3 {
+			tracker.Add(crash(fmt.Sprint("rare-", number), endpoint, "shared", "rare"), now.Add(time.Millisecond))
+		}
+		// One of its requests failed for another reason.
+		if number == 4 {
+			tracker.Add(crash("rare-4", "endpoint-2", "shared", "rare"), now.Add(time.Millisecond))
+		}
+		clears(tracker, "shared", now.Add(time.Second))
+		now = now.Add(2 * time.Second)
+	}
+	view := tracker.View()
+	if part, found := view.Quarantined([]quarantine.Part{"shared", "rare"}); found {
+		t.Errorf("sound prompt: got refused because of %s, want accepted", part)
+	}
+	if part, found := view.Quarantined([]quarantine.Part{"shared", "deadly"}); !found || part != "deadly" {
+		t.Errorf("deadly prompt: got %q %t, want refused because of deadly", part, found)
+	}
+}
+
+// TestCrashOfAllEndpointsQuarantinesNothing guards against common parts that are refused
+// after many endpoints crashed at one time, and could then never be cleared.
+func TestCrashOfAllEndpointsQuarantinesNothing(t *testing.T) {
+	tracker := quarantine.New(quarantine.Defaults())
+	clears(tracker, "shared", start)
+	for number := range 20 {
+		tracker.Add(crash(fmt.Sprint(number), fmt.Sprint("endpoint-", number), "shared"), start.Add(time.Second))
+	}
+	if _, found := tracker.View().Quarantined([]quarantine.Part{"shared"}); found {
+		t.Error("common part: got quarantined, want accepted")
+	}
+}
+
 // The last copy of a failure, passed on by another peer, arrived after its parts were
 // cleared, made them suspects once more and was passed on again, without end.
 func TestClearedPartsAreNotSuspectedByCopies(t *testing.T) {
 	tracker := quarantine.New(quarantine.Defaults())
 	failure := crash("1", "a", "shared")
 	tracker.Add(failure, start)
-	tracker.Clear("shared")
-	if tracker.Add(failure, start.Add(time.Second)) || len(tracker.Suspects) != 0 {
+	clears(tracker, "shared", start)
+	if added, _ := tracker.Add(failure, start.Add(time.Second)); added || len(tracker.Suspects) != 0 {
 		t.Error("copy of a failure: got it added, want it ignored")
 	}
 	for number := range tracker.Config.MaxKnown {
@@ -129,7 +214,7 @@
 	}
 	later := start.Add(config.Memory / 2)
 	for _, failure := range known.Failures(later) {
-		if !joining.Add(failure, later) {
+		if added, _ := joining.Add(failure, later); !added {
 			t.Errorf("failure %v: got known, want new", failure)
 		}
 	}
@@ -141,7 +226,7 @@
 		t.Errorf("suspects of the joining process in the end: got %d, want 0", got)
 	}
 	for _, age := range []time.Duration{-time.Second, config.Memory} {
-		if joining.Add(quarantine.Failure{Request: "x", Endpoint: "a", Parts: []quarantine.Part{"p"}, Age: age}, later) {
+		if added, _ := joining.Add(quarantine.Failure{Request: "x", Endpoint: "a", Parts: []quarantine.Part{"p"}, Age: age}, later); added {
 			t.Errorf("failure of age %s: got it added, want it ignored", age)
 		}
 	}
@@ -172,16 +257,14 @@
 func TestViewOfSuspects(t *testing.T) {
 	tracker := quarantine.New(quarantine.Defaults())
 	tracker.Add(crash("1", "a", "p"), start)
+	tracker.Add(crash("2", "c", "p", "q"), start)
+	tracker.Add(crash("3", "c", "p"), start)
 	view := tracker.View()
 	parts := []quarantine.Part{"q", "p"}
-	if got, want := view.Suspects(parts), []quarantine.Part{"p"}; !slices.Equal(got, want) {
-		t.Errorf("suspects: got %v, want %v", got, want)
-	}
-	if view.FailedElsewhere(parts, "a") {
-		t.Error("failed elsewhere than at a: got true, want false")
-	}
-	if !view.FailedElsewhere(parts, "b") {
-		t.Error("failed elsewhere than at b: got false, want true")
+	for endpoint, want := range map[string]int{"a": 1, "b": 2, "c": 1} {
+		if got := view.FailedElsewhere(parts, endpoint); got != want {
+			t.Errorf("endpoints that failed beside %s: got %d, want %d", endpoint, got, want)
+		}
 	}
 }
 
@@ -206,7 +289,7 @@
 	if !quarantined(both) || quarantined(topic) || !quarantined(deadly) {
 		t.Errorf("the same after a crash without the topic: got %t, %t, %t, want the topic alone let through", quarantined(both), quarantined(topic), quarantined(deadly))
 	}
-	tracker.Clear("topic")
+	clears(tracker, "topic", start)
 	if !quarantined(both) || quarantined(topic) {
 		t.Error("after a response under the topic: got it quarantined or the cause released, want neither")
 	}
--- a/fleet/process/quarantine/view.go
+++ b/fleet/process/quarantine/view.go
@@ -4,62 +4,61 @@
 
 // View is a snapshot of a Tracker. It is immutable.
 type View struct {
-	// Groups has the quarantined parts, by part. All parts of a group failed at the same
-	// endpoints, so that a prompt is refused only if it has all of them: a prompt with some
+	// Groups has the quarantined parts, by part. All parts of a group failed in the same
+	// crashes, so that a prompt is refused only if it has all of them: a prompt with some
 	// shows which one is the cause.
 	Groups map[Part][]Part
 	// Endpoints has the endpoints that failed with each suspect, quarantined or not.
 	Endpoints map[Part][]string
 }
 
+// candidate is a part with enough failures to be quarantined.
+type candidate struct {
+	part     Part
+	failures []Suspicion
+	crashes  map[int]bool
+}
+
 // View returns a snapshot of the tracker.
 func (t *Tracker) View() *View {
 	view := &View{Groups: make(map[Part][]Part), Endpoints: make(map[Part][]string)}
-	crashed := make(map[Part]map[string]bool)
+	var candidates []candidate
 	for part, failures := range t.Suspects {
-		endpoints := make(map[string]bool)
+		crashes := make(map[int]bool)
 		for _, suspicion := range failures {
 			view.Endpoints[part] = append(view.Endpoints[part], suspicion.Endpoint)
-			endpoints[suspicion.Endpoint] = true
+			crashes[suspicion.Crash] = true
 		}
 		if t.isQuarantined(failures) {
-			crashed[part] = endpoints
+			candidates = append(candidates, candidate{part: part, failures: failures, crashes: crashes})
 		}
 	}
-	for part := range crashed {
-		if group, ok := groupOf(part, crashed); ok {
-			view.Groups[part] = group
+	for _, each := range candidates {
+		if group, ok := t.groupOf(each, candidates); ok {
+			view.Groups[each.part] = group
 		}
 	}
 	return view
 }
 
-// groupOf returns the parts that failed at the same endpoints as the part. It returns false
-// if another part failed at all of these and at more, which explains them.
-func groupOf(part Part, crashed map[Part]map[string]bool) ([]Part, bool) {
+// groupOf returns the candidates that failed in the same crashes. It returns false if
+// another one explains the failures of the candidate: it failed in more crashes, and too
+// few of the candidate's failures remain beside these.
+func (t *Tracker) groupOf(each candidate, candidates []candidate) ([]Part, bool) {
 	var group []Part
-	for other, endpoints := range crashed {
-		if !containsAll(endpoints, crashed[part]) {
-			continue
-		}
-		if len(endpoints) > len(crashed[part]) {
+	for _, other := range candidates {
+		remaining := slices.DeleteFunc(slices.Clone(each.failures), func(failure Suspicion) bool { return other.crashes[failure.Crash] })
+		switch {
+		case len(remaining) == 0 && len(other.crashes) == len(each.crashes):
+			group = append(group, other.part)
+		case len(other.crashes) > len(each.crashes) && !t.isQuarantined(remaining):
 			return nil, false
 		}
-		group = append(group, other)
 	}
 	slices.Sort(group)
 	return group, true
 }
 
-func containsAll(set, subset map[string]bool) bool {
-	for member := range subset {
-		if !set[member] {
-			return false
-		}
-	}
-	return true
-}
-
 // Quarantined returns the first part of a prompt that makes it refused, if there is one.
 func (v *View) Quarantined(parts []Part) (Part, bool) {
 	for _, part := range parts {
@@ -71,21 +70,18 @@
 	return "", false
 }
 
-// Suspects returns the parts of a prompt that are suspects.
-func (v *View) Suspects(parts []Part) []Part {
-	var suspects []Part
+// FailedElsewhere returns the largest number of other endpoints that failed with one part
+// of a prompt.
+func (v *View) FailedElsewhere(parts []Part, endpoint string) int {
+	most := 0
 	for _, part := range parts {
-		if len(v.Endpoints[part]) > 0 {
-			suspects = append(suspects, part)
+		failed := make(map[string]bool)
+		for _, other := range v.Endpoints[part] {
+			if other != endpoint {
+				failed[other] = true
+			}
 		}
+		most = max(most, len(failed))
 	}
-	return suspects
-}
-
-// FailedElsewhere reports whether any part of a prompt is a suspect of the failure of
-// another endpoint.
-func (v *View) FailedElsewhere(parts []Part, endpoint string) bool {
-	return slices.ContainsFunc(parts, func(part Part) bool {
-		return slices.ContainsFunc(v.Endpoints[part], func(failed string) bool { return failed != endpoint })
-	})
+	return most
 }
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -29,7 +29,7 @@
 	reportedRun journal.RunStatus
 	// delivered is RelayResult.Delivered of the attempt.
 	delivered bool
-	// suspect is true if this endpoint and others before failed with a part of the prompt.
+	// suspect is true if enough other endpoints failed with a part of the prompt before.
 	suspect bool
 }
 
@@ -156,7 +156,7 @@
 	response, err := chosen.Do(ctx, call)
 	if err != nil {
 		r.release(job, chosen, balancer.Classify(nil, err))
-		return RelayResult{Err: err}, attemptFailure{phase: phaseOf(err), suspect: r.reportCrash(job, chosen, err)}
+		return RelayResult{Err: err}, attemptFailure{phase: phaseOf(err), suspect: r.reportCrash(job, chosen, err, false)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	failed := attemptFailure{phase: endpoint.AfterHeaders, reportedRun: response.Run}
@@ -171,20 +171,16 @@
 		r.release(job, chosen, classifyUnrelayed(response, err))
 		return RelayResult{Err: err, ErrorResponse: readErrorResponse(job, response, err)}, failed
 	}
-	begun := sync.OnceFunc(func() {
-		responseStarted()
-		r.reportBegun(job)
-	})
-	result := job.Relay.Relay(ctx, job.Plan, response, &startObserver{Sink: sink, onData: begun})
+	result := job.Relay.Relay(ctx, job.Plan, response, &startObserver{Sink: sink, onData: sync.OnceFunc(responseStarted)})
 	r.release(job, chosen, classifyRelayed(response, result.Err))
 	failed.delivered = result.Delivered
-	if result.Err != nil {
-		failed.phase = phaseOf(result.Err)
-		failed.reportedRun = reportedRunOf(result.Err, response.Run)
-	}
-	if !result.Delivered {
-		failed.suspect = r.reportCrash(job, chosen, result.Err)
+	if result.Err == nil {
+		r.reportWhole(job, response)
+		return result, failed
 	}
+	failed.phase = phaseOf(result.Err)
+	failed.reportedRun = reportedRunOf(result.Err, response.Run)
+	failed.suspect = r.reportCrash(job, chosen, result.Err, result.Delivered)
 	return result, failed
 }
 
--- a/fleet/request/serve/prompt.go
+++ b/fleet/request/serve/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 
 	"github.com/juju/errors"
 
@@ -29,25 +30,30 @@
 	}
 }
 
-// reportCrash reports an attempt whose connection broke before its response had begun. It
-// returns true if another endpoint failed with a part of the prompt before.
-func (r *Runner) reportCrash(job Job, chosen *endpoint.State, err error) bool {
+// maxSuspectEndpoints is the number of endpoints at which a part may have crashed before a
+// stream with it is no longer resumed at another one. Most streams that a crash cuts off
+// are sound.
+const maxSuspectEndpoints = 1
+
+// reportCrash reports an attempt whose connection broke before its response had ended. It
+// returns true if the prompt is so suspect that it must not crash one more endpoint.
+func (r *Runner) reportCrash(job Job, chosen *endpoint.State, err error, begun bool) bool {
 	if r.Prompts == nil || len(job.Parts) == 0 || !connectionBroke(err) {
 		return false
 	}
 	failedElsewhere := r.Prompts.View().FailedElsewhere(job.Parts, chosen.VM.Name)
 	r.Prompts.ReportFailure(quarantine.Failure{Request: job.Request, Endpoint: chosen.VM.Name, Parts: job.Parts})
-	return failedElsewhere
+	if begun {
+		return failedElsewhere > maxSuspectEndpoints
+	}
+	return failedElsewhere > 0
 }
 
-// reportBegun reports that a response has begun under the suspects among the parts of
-// the prompt.
-func (r *Runner) reportBegun(job Job) {
-	if r.Prompts == nil {
-		return
-	}
-	if suspects := r.Prompts.View().Suspects(job.Parts); len(suspects) > 0 {
-		r.Prompts.ReportBegun(suspects)
+// reportWhole reports that a successful response has ended. One that is not delimited may
+// have been cut off by a crash.
+func (r *Runner) reportWhole(job Job, response *endpoint.Response) {
+	if r.Prompts != nil && len(job.Parts) > 0 && response.Delimited && response.Status < http.StatusMultipleChoices {
+		r.Prompts.ReportWhole(job.Parts)
 	}
 }
 
--- a/fleet/request/serve/prompt_test.go
+++ b/fleet/request/serve/prompt_test.go
@@ -20,7 +20,7 @@
 type prompts struct {
 	tracker  *quarantine.Tracker
 	failures []quarantine.Failure
-	begun    []quarantine.Part
+	whole    []quarantine.Part
 }
 
 func (p *prompts) View() *quarantine.View { return p.tracker.View() }
@@ -30,10 +30,10 @@
 	p.tracker.Add(failure, time.Unix(0, 0))
 }
 
-func (p *prompts) ReportBegun(parts []quarantine.Part) {
-	p.begun = append(p.begun, parts...)
+func (p *prompts) ReportWhole(parts []quarantine.Part) {
+	p.whole = append(p.whole, parts...)
 	for _, part := range parts {
-		p.tracker.Clear(part)
+		p.tracker.Clear(quarantine.Whole{Part: part}, time.Unix(0, 0))
 	}
 }
 
@@ -76,26 +76,36 @@
 	}
 }
 
-func TestFailuresBeforeTheResponseAreReported(t *testing.T) {
+// TestFailuresBeforeTheEndAreReported guards against parts under which endpoints crash after
+// the first event: such a stream was no failure, cleared its parts, and was resumed at the
+// next endpoint. Only a whole response shows that its parts are sound.
+func TestFailuresBeforeTheEndAreReported(t *testing.T) {
 	head := scriptedResponse{status: http.StatusOK}
 	whole := scriptedResponse{http.StatusOK, numbered(1), true}
+	broken := scriptedResponse{http.StatusOK, numbered(1), false}
+	resumed := scriptedResponse{http.StatusOK, numbered(2), true}
+	all := []quarantine.Part{"shared", "topic"}
 	tests := []struct {
 		name      string
 		failedAt  []string
 		responses []scriptedResponse
 		attempts  int
 		failures  int
-		begun     []quarantine.Part
+		whole     []quarantine.Part
 	}{
-		{"crash, then a response", nil, []scriptedResponse{head, whole}, 2, 1, []quarantine.Part{"shared", "topic"}},
-		{"inside the first event", nil, []scriptedResponse{{http.StatusOK, "id: 1\nda", false}, whole}, 2, 1, []quarantine.Part{"shared", "topic"}},
+		{"crash, then a response", nil, []scriptedResponse{head, whole}, 2, 1, all},
+		{"inside the first event", nil, []scriptedResponse{{http.StatusOK, "id: 1\nda", false}, whole}, 2, 1, all},
 		{"two crashes", nil, []scriptedResponse{head, head}, 2, 2, nil},
 		// Each request with a part that crashes endpoints brought down two of them.
 		{"crash of a suspect", []string{"runner-9"}, []scriptedResponse{head, head}, 1, 1, nil},
-		{"response under a suspect", []string{"runner-9"}, []scriptedResponse{whole}, 1, 0, []quarantine.Part{"topic"}},
-		{"response without suspects", nil, []scriptedResponse{whole}, 1, 0, nil},
+		{"response with a suspect", []string{"runner-9"}, []scriptedResponse{whole}, 1, 0, all},
+		{"response without suspects", nil, []scriptedResponse{whole}, 1, 0, all},
 		{"server error", nil, []scriptedResponse{{500, "", true}, {500, "", true}}, 2, 0, nil},
-		{"after an event", nil, []scriptedResponse{{http.StatusOK, numbered(1), false}, {http.StatusOK, numbered(2), true}}, 2, 0, nil},
+		{"after an event", nil, []scriptedResponse{broken, resumed}, 2, 1, all},
+		{"inside the second event", nil, []scriptedResponse{{http.StatusOK, numbered(1) + "id: 2\nda", false}, resumed}, 2, 1, all},
+		{"after an event at both endpoints", nil, []scriptedResponse{broken, {http.StatusOK, numbered(2), false}}, 2, 2, nil},
+		{"after an event, crash elsewhere before", []string{"runner-9"}, []scriptedResponse{broken, resumed}, 2, 1, all},
+		{"after an event, crashes at two others before", []string{"runner-8", "runner-9"}, []scriptedResponse{broken, resumed}, 1, 1, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -107,9 +117,32 @@
 			if got := len(monitor.failures); got != test.failures {
 				t.Errorf("failures: got %d, want %d: %+v", got, test.failures, monitor.failures)
 			}
-			if !slices.Equal(monitor.begun, test.begun) {
-				t.Errorf("begun: got %v, want %v", monitor.begun, test.begun)
+			if !slices.Equal(monitor.whole, test.whole) {
+				t.Errorf("parts of whole responses: got %v, want %v", monitor.whole, test.whole)
 			}
 		})
 	}
 }
+
+// TestStreamThatEndsWithItsConnectionClearsNothing guards against a crash between two events
+// of a response without a length, which cannot be distinguished from its end.
+func TestStreamThatEndsWithItsConnectionClearsNothing(t *testing.T) {
+	made := newHarness(t, func(writer http.ResponseWriter, _ *http.Request) {
+		connection, _, err := http.NewResponseController(writer).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		_, _ = connection.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + numbered(1)))
+	})
+	made.plan.Streamed = true
+	monitor := &prompts{tracker: quarantine.New(quarantine.Defaults())}
+	made.runner.Prompts = monitor
+	if err := made.runPrompt(t); err != nil {
+		t.Errorf("error: got %v, want none", err)
+	}
+	if len(monitor.whole)+len(monitor.failures) != 0 {
+		t.Errorf("reports: got whole %v and failures %v, want none", monitor.whole, monitor.failures)
+	}
+}
--- a/fleet/request/serve/serve.go
+++ b/fleet/request/serve/serve.go
@@ -54,10 +54,10 @@
 type PromptMonitor interface {
 	View() *quarantine.View
 	// ReportFailure reports a request whose connection broke before its response had
-	// begun.
+	// ended.
 	ReportFailure(failure quarantine.Failure)
-	// ReportBegun reports suspects under which a response has begun.
-	ReportBegun(parts []quarantine.Part)
+	// ReportWhole reports the parts of a prompt whose response ended whole.
+	ReportWhole(parts []quarantine.Part)
 }
 
 // Sink delivers the response to the caller. An error means that the caller's
--- a/router/process/node/prompts.go
+++ b/router/process/node/prompts.go
@@ -12,8 +12,8 @@
 	"jacinthpaddle.example/fleet/process/quarantine"
 )
 
-// MaxFailuresPerMessage bounds the failures in one message to a peer, so that it fits into
-// a frame.
+// MaxFailuresPerMessage bounds the failures, or the whole responses, in one message to a
+// peer, so that it fits into a frame.
 const MaxFailuresPerMessage = 100
 
 // PromptMonitor implements serve.PromptMonitor and is safe for concurrent use.
@@ -37,13 +37,17 @@
 	m.thread.Send(PromptsObserved{Failures: []quarantine.Failure{failure}})
 }
 
-// ReportBegun implements serve.PromptMonitor.
-func (m *PromptMonitor) ReportBegun(parts []quarantine.Part) {
-	m.thread.Send(PromptsObserved{Cleared: parts})
+// ReportWhole implements serve.PromptMonitor.
+func (m *PromptMonitor) ReportWhole(parts []quarantine.Part) {
+	observed := PromptsObserved{Whole: make([]quarantine.Whole, len(parts))}
+	for index, part := range parts {
+		observed.Whole[index].Part = part
+	}
+	m.thread.Send(observed)
 }
 
-// PromptsObserved has failed requests, and parts of prompts under which a response has
-// begun. They were observed here or by a peer.
+// PromptsObserved has failed requests and whole responses that were observed here or by a
+// peer.
 type PromptsObserved peer.Prompts
 
 // Apply implements control.Message. What was not known yet is sent to the peers with the
@@ -53,14 +57,16 @@
 	pending := &state.pendingPrompts
 	changed := false
 	for _, failure := range m.Failures {
-		if state.Prompts.Add(failure, now) {
+		added, sound := state.Prompts.Add(failure, now)
+		if added {
 			pending.Failures = append(pending.Failures, failure)
+			pending.addWhole(sound...)
 			changed = true
 		}
 	}
-	for _, part := range m.Cleared {
-		if state.Prompts.Clear(part) {
-			pending.Cleared = append(pending.Cleared, part)
+	for _, whole := range m.Whole {
+		if state.Prompts.Clear(whole, now) {
+			pending.addWhole(whole)
 			changed = true
 		}
 	}
@@ -69,6 +75,16 @@
 	}
 }
 
+// addWhole adds the responses whose parts have none yet.
+func (m *PromptsObserved) addWhole(added ...quarantine.Whole) {
+	for _, whole := range added {
+		isKnown := func(known quarantine.Whole) bool { return known.Part == whole.Part }
+		if !slices.ContainsFunc(m.Whole, isKnown) {
+			m.Whole = append(m.Whole, whole)
+		}
+	}
+}
+
 // publishPrompts publishes the view of the suspects for traffic, and logs which parts are
 // quarantined since the last one and which are not any more.
 func (s *State) publishPrompts() {
@@ -105,8 +121,8 @@
 	for failures := range slices.Chunk(observed.Failures, MaxFailuresPerMessage) {
 		s.send(to, peer.Message{Prompts: &peer.Prompts{Failures: failures}})
 	}
-	if len(observed.Cleared) > 0 {
-		s.send(to, peer.Message{Prompts: &peer.Prompts{Cleared: observed.Cleared}})
+	for whole := range slices.Chunk(observed.Whole, MaxFailuresPerMessage) {
+		s.send(to, peer.Message{Prompts: &peer.Prompts{Whole: whole}})
 	}
 }
 
--- a/router/process/node/prompts_test.go
+++ b/router/process/node/prompts_test.go
@@ -27,7 +27,7 @@
 	r.waitForMessages()
 }
 
-// takePrompts returns the failures and cleared parts that were sent since the last call,
+// takePrompts returns the failures and whole responses that were sent since the last call,
 // by recipient.
 func (r *testRouter) takePrompts() map[ident.Incarnation]peer.Prompts {
 	return control.Query(r.thread, func(*node.State) map[ident.Incarnation]peer.Prompts {
@@ -36,7 +36,7 @@
 			if message.Prompts != nil {
 				prompts := sent[message.To]
 				prompts.Failures = append(prompts.Failures, message.Prompts.Failures...)
-				prompts.Cleared = append(prompts.Cleared, message.Prompts.Cleared...)
+				prompts.Whole = append(prompts.Whole, message.Prompts.Whole...)
 				sent[message.To] = prompts
 			}
 		}
@@ -76,18 +76,48 @@
 	if got := len(router.takePrompts()["d"].Failures); got != 3 {
 		t.Errorf("failures for a process that joins: got %d, want 3", got)
 	}
-	monitor.ReportBegun([]quarantine.Part{"deadly"})
+	monitor.ReportWhole([]quarantine.Part{"deadly"})
 	router.waitForMessages()
 	router.tick()
-	if got := len(router.takePrompts()["b"].Cleared); got != 1 {
-		t.Errorf("cleared parts sent: got %d, want 1", got)
+	if got := len(router.takePrompts()["b"].Whole); got != 1 {
+		t.Errorf("whole responses sent: got %d, want 1", got)
 	}
 	if _, found := monitor.View().Quarantined([]quarantine.Part{"deadly"}); found {
-		t.Error("part under which a response began: got quarantined, want accepted")
+		t.Error("part with which a response ended: got quarantined, want accepted")
 	}
-	router.deliver("b", peer.Message{Prompts: &peer.Prompts{Cleared: []quarantine.Part{"deadly"}}})
+	router.deliver("b", peer.Message{Prompts: &peer.Prompts{Whole: []quarantine.Whole{{Part: "deadly"}}}})
 	router.tick()
 	if got := router.takePrompts(); len(got) != 0 {
 		t.Errorf("cleared part that is known: got %+v sent, want nothing", got)
 	}
 }
+
+// TestSoundPartsAreReportedInAnyOrder guards against a failure that overtakes the whole
+// response that voids it: a router that knows the part as sound tells its peers, with the
+// age of the response, so that they do not keep each other's knowledge alive.
+func TestSoundPartsAreReportedInAnyOrder(t *testing.T) {
+	router := newTestRouter(t, 100)
+	monitor := control.Query(router.thread, func(state *node.State) *node.PromptMonitor {
+		return node.NewPromptMonitor(router.thread, state.PromptView)
+	})
+	router.link("b")
+	monitor.ReportWhole([]quarantine.Part{"deadly"})
+	router.waitForMessages()
+	router.tick()
+	if got := router.takePrompts(); len(got) != 0 {
+		t.Errorf("whole response without suspects: got %+v sent, want nothing", got)
+	}
+	age := node.QuotaInterval
+	router.tick()
+	for number := range 3 {
+		router.deliver("b", peer.Message{Prompts: &peer.Prompts{Failures: []quarantine.Failure{promptFailure(number)}}})
+	}
+	router.tick()
+	if _, found := monitor.View().Quarantined([]quarantine.Part{"deadly"}); found {
+		t.Error("sound part: got quarantined, want accepted")
+	}
+	whole := router.takePrompts()["b"].Whole
+	if len(whole) != 1 || whole[0].Part != "deadly" || whole[0].Age < age {
+		t.Errorf("whole responses sent: got %+v, want one of the part, at least %s old", whole, age)
+	}
+}
