serve: Bound the memory of all responses together

What other operators' callers saw: a faulty runner sent bytes without end, the machine ran out of memory, and the requests of all clients on it ended.

Cause: each body had a bound of 16 MB, and no bound held for all. Event streams keep at most 1 MB of an event each.

Change: buffer.Pool is shared by all responses of a process. Bodies are read in pieces, joined once.

--- a/fleet/connection/endpoint/client.go
+++ b/fleet/connection/endpoint/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"jacinthpaddle.example/fleet/process/buffer"
 	"jacinthpaddle.example/fleet/process/clock"
 )
 
@@ -107,6 +108,8 @@
 	// Delimited is true if the body has a length or a transfer encoding. Otherwise its end
 	// cannot be distinguished from a lost connection.
 	Delimited bool
+	// Buffer accounts for what is kept of the response. Nil is no bound.
+	Buffer *buffer.Lease
 }
 
 // MeasureProgress makes Limits.Stall bound the time between two calls of Progressed
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -159,6 +158,7 @@
 		return RelayResult{Err: err}, attemptFailure{phase: phaseOf(err), suspect: r.reportCrash(job, chosen, err, false)}
 	}
 	defer func() { _ = response.Body.Close() }()
+	response.Buffer = job.buffer
 	failed := attemptFailure{phase: endpoint.AfterHeaders, reportedRun: response.Run}
 	if err := r.checkResponse(response, call.Attempt); err != nil {
 		var wrongAttempt *WrongAttemptError
@@ -215,8 +215,8 @@
 	if !job.ForwardErrorResponses || response.Run == journal.NotRun || !errors.As(err, &statusError) {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxErrorResponseBytes+1))
-	if err != nil || len(body) > MaxErrorResponseBytes {
+	body, failed := readBody(job.Plan, response, MaxErrorResponseBytes)
+	if failed.Err != nil {
 		return nil
 	}
 	return &Response{Status: response.Status, Header: response.Header, Body: body}
--- a/fleet/request/serve/buffered.go
+++ b/fleet/request/serve/buffered.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 
 	"jacinthpaddle.example/fleet/connection/endpoint"
 	"jacinthpaddle.example/fleet/process/journal"
@@ -42,18 +43,41 @@
 	return b.chargeByUsage(plan, result)
 }
 
+// bodyChunkBytes is the size of the pieces in which a body is read. Memory is used for what
+// has arrived, whatever length the endpoint announced.
+const bodyChunkBytes = 32 << 10
+
+// joinFactor is how much of its size a body occupies while its pieces are joined.
+const joinFactor = 2
+
 // readBody reads the body of a response of at most limit bytes. If that fails, the
 // returned RelayResult has the error and the charge.
 func readBody(plan admission.Plan, response *endpoint.Response, limit int64) ([]byte, RelayResult) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return nil, RelayResult{Err: err}
-	}
-	if int64(len(body)) > limit {
-		reason := fmt.Sprintf("the answer is larger than %d bytes", limit)
-		return nil, RelayResult{Charge: plan.Reserve, Err: ranError(outcome.TooLarge, reason)}
+	var chunks [][]byte
+	chunk := make([]byte, 0, bodyChunkBytes)
+	var size int64
+	for {
+		count, err := response.Body.Read(chunk[len(chunk):cap(chunk)])
+		chunk = chunk[:len(chunk)+count]
+		size += int64(count)
+		if size > limit {
+			reason := fmt.Sprintf("the answer is larger than %d bytes", limit)
+			return nil, RelayResult{Charge: plan.Reserve, Err: ranError(outcome.TooLarge, reason)}
+		}
+		if full := response.Buffer.Resize(joinFactor * size); full != nil {
+			return nil, RelayResult{Charge: plan.Reserve, Err: noMemory(full)}
+		}
+		if err == io.EOF {
+			return slices.Concat(append(chunks, chunk)...), RelayResult{}
+		}
+		if err != nil {
+			return nil, RelayResult{Err: err}
+		}
+		if len(chunk) == cap(chunk) {
+			chunks = append(chunks, chunk)
+			chunk = make([]byte, 0, bodyChunkBytes)
+		}
 	}
-	return body, RelayResult{}
 }
 
 // chargeByUsage charges a chat completion for the usage that it reports.
@@ -82,3 +106,11 @@
 func ranError(code outcome.Code, reason string) error {
 	return &outcome.Error{Code: code, Run: journal.Ran, Object: "endpoint", Reason: reason}
 }
+
+// noMemory returns the error of a response that does not fit into the memory for responses.
+func noMemory(cause error) error {
+	return &outcome.Error{
+		Code: outcome.EndpointFailed, Run: journal.Ran, Object: "endpoint",
+		Reason: "the answer does not fit into the memory of the router", Cause: cause,
+	}
+}
--- a/fleet/request/serve/events.go
+++ b/fleet/request/serve/events.go
@@ -91,8 +91,16 @@
 	begun := false
 	for {
 		count, err := response.Body.Read(buffer)
+		// Ends of events in what was pending were found before.
+		searched := max(0, len(pending)-len(eventEnd)+1)
 		pending = append(pending, buffer[:count]...)
-		complete := completeEventsSize(pending)
+		if full := response.Buffer.Resize(int64(cap(pending))); full != nil {
+			return noMemory(full)
+		}
+		complete := completeEventsSize(pending[searched:])
+		if complete > 0 {
+			complete += searched
+		}
 		hasContent := containsEvent(pending[:complete])
 		begun = begun || hasContent
 		if hasContent || len(pending) >= progressAt {
--- a/fleet/request/serve/serve.go
+++ b/fleet/request/serve/serve.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"jacinthpaddle.example/fleet/connection/endpoint"
+	"jacinthpaddle.example/fleet/process/buffer"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/ident"
@@ -135,6 +136,9 @@
 	// ForwardErrorResponses makes the caller receive an endpoint's error response unchanged
 	// once no attempt is left.
 	ForwardErrorResponses bool
+
+	// buffer accounts for the responses to the request. Run sets it.
+	buffer *buffer.Lease
 }
 
 // Limits bounds the waits of a request.
@@ -166,6 +170,8 @@
 	RetryPolicy  retry.Policy
 	RetryBudgets *retry.Budgets
 	Limits       Limits
+	// Buffers bounds the memory of all responses. Nil is no bound.
+	Buffers *buffer.Pool
 }
 
 // Run executes the request. Its error is an *outcome.Error, or the sink's error if the
@@ -186,6 +192,8 @@
 		return err
 	}
 	defer release()
+	job.buffer = r.Buffers.Lease()
+	defer job.buffer.Release()
 	result := r.runBilled(ctx, job, sink)
 	if result.Err != nil {
 		return result.Err
--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -85,6 +85,7 @@
 	check.within(s.Limits.MaxBodyBytes, 1<<10, 64<<20, "limits", "max_body_bytes")
 	check.within(int64(s.Limits.MaxHeaderBytes), 1<<10, 1<<20, "limits", "max_header_bytes")
 	check.within(s.Limits.MaxResponseBytes, 1<<10, 256<<20, "limits", "max_answer_bytes")
+	check.within(s.Limits.MaxBufferedBytes, 1<<20, 64<<30, "limits", "max_buffered_bytes")
 	check.within(int64(s.Limits.MaxConcurrent), 1, 1<<20, "limits", "max_concurrent")
 	check.within(int64(s.Quota.Holders), 1, 64, "rights", "holders")
 	check.within(int64(s.Quota.SharePercent), 1, 100*int64(s.Quota.Holders), "rights", "share_percent")
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -105,6 +105,8 @@
 	MaxHeaderBytes int   `ini:"max_header_bytes"`
 	// MaxResponseBytes bounds the body of a response that is not streamed.
 	MaxResponseBytes int64 `ini:"max_answer_bytes"`
+	// MaxBufferedBytes bounds the memory that all responses occupy while they are read.
+	MaxBufferedBytes int64 `ini:"max_buffered_bytes"`
 	// MaxConcurrent is the maximum number of requests in progress.
 	MaxConcurrent     int           `ini:"max_concurrent"`
 	ReadHeaderTimeout time.Duration `ini:"read_header_timeout"`
@@ -207,6 +209,7 @@
 			MaxBodyBytes:      1 << 20,
 			MaxHeaderBytes:    16 << 10,
 			MaxResponseBytes:  16 << 20,
+			MaxBufferedBytes:  64 << 20,
 			MaxConcurrent:     1024,
 			ReadHeaderTimeout: 5 * time.Second,
 			ReadBodyTimeout:   30 * time.Second,
--- a/router/process/node/wire.go
+++ b/router/process/node/wire.go
@@ -6,6 +6,7 @@
 
 	"jacinthpaddle.example/fleet/connection/forward"
 	"jacinthpaddle.example/fleet/connection/peer"
+	"jacinthpaddle.example/fleet/process/buffer"
 	"jacinthpaddle.example/fleet/process/control"
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/operatorapi"
@@ -31,6 +32,7 @@
 		Slots:         serve.NewSlots(n.Clock, n.state.Endpoints, n.Settings.Limits.MaxQueueWait),
 		Picker:        balancer.New(balancer.Defaults(n.Settings.Locality()), random.New()),
 		Prompts:       NewPromptMonitor(n.thread, n.state.PromptView),
+		Buffers:       &buffer.Pool{Capacity: n.Settings.Limits.MaxBufferedBytes},
 		RetryPolicy:   retry.Defaults(),
 		RetryBudgets:  n.state.Retries,
 		Limits: serve.Limits{
