--- a/router/connection/listener/listener.go
+++ b/router/connection/listener/listener.go
@@ -38,6 +38,10 @@
 	unread atomic.Int64
 }
 
+// EstablishedTime is how long after the start of Shutdown requests on established
+// connections may still be taken.
+const EstablishedTime = stopLimit + unreadLimit
+
 // Waits of Shutdown for the first requests of new connections, which net/http drops if
 // they are read after its own Shutdown has begun.
 const (
--- a/router/process/node/drain.go
+++ b/router/process/node/drain.go
@@ -13,6 +13,10 @@
 // the drain is complete.
 const DrainPollInterval = 50 * time.Millisecond
 
+// LastResponseTime is how long requests that are still in progress after the drain timeout
+// may go on.
+const LastResponseTime = time.Second
+
 // drainAndStop drains the process. Locate responses stop listing it at once. It serves
 // until earlier locate responses have expired, finishes the requests in progress, returns
 // its quota and stores its journal.
@@ -25,7 +29,7 @@
 	if !n.finishRequests() {
 		n.Log.Emit(event.DrainIncomplete, event.Int("requests", n.inProgress()))
 	}
-	n.shutDownCallers(time.Second)
+	n.shutDownCallers(LastResponseTime)
 	if n.waitFor(n.Settings.Limits.CloseTimeout, n.tryClose) {
 		n.Log.Emit(event.QuotaReturned)
 	} else {
