serve: Do not refuse a request because its response is too large

A client never sends such a request again.

Cause: too_large was the code of both a request and a response over its limit, and the front ends map it to 413. A response over its limit is now endpoint_failed, 502.

--- a/fleet/request/outcome/outcome.go
+++ b/fleet/request/outcome/outcome.go
@@ -30,8 +30,7 @@
 	Forbidden    Code = "forbidden"
 	// BadRequest means that the request is malformed or has a value out of range.
 	BadRequest Code = "bad_request"
-	// TooLarge means that the request, or the response of the endpoint, is over its
-	// size limit.
+	// TooLarge means that the request is over its size limit.
 	TooLarge Code = "too_large"
 	// NotFound means that the request names a model, service or path that does not exist
 	// or that the team may not use.
--- a/fleet/request/serve/buffered.go
+++ b/fleet/request/serve/buffered.go
@@ -62,7 +62,7 @@
 		size += int64(count)
 		if size > limit {
 			reason := fmt.Sprintf("the answer is larger than %d bytes", limit)
-			return nil, RelayResult{Charge: plan.Reserve, Err: ranError(outcome.TooLarge, reason)}
+			return nil, RelayResult{Charge: plan.Reserve, Err: ranError(outcome.EndpointFailed, reason)}
 		}
 		if full := response.Buffer.Resize(joinFactor * size); full != nil {
 			return nil, RelayResult{Charge: plan.Reserve, Err: noMemory(full)}
--- a/fleet/request/serve/events.go
+++ b/fleet/request/serve/events.go
@@ -125,7 +125,7 @@
 		case err != nil:
 			return e.interrupted(err)
 		case len(pending) > maxEventBytes:
-			return ranError(outcome.TooLarge, "an event of the stream is too large")
+			return ranError(outcome.EndpointFailed, "an event of the stream is too large")
 		}
 	}
 }
