node tests: Wait for the failed write before the next entry

TestRecordIsRefusedIfNotDurable hung once in 80 to 2,000 runs, in the third Open, which waits without a deadline. Cause: the wait of the second Open can end before the control thread has applied its entry. The third entry is then queued before the result of the write, is appended, and its write is never repeated, as the fake clock stands still. Evidence: if that wait is over at once, the test hangs without the barrier, and passes 200 of 200 times with it.

The test is as strict as before: the entry after a failed write must be refused. 3,000 runs with the race detector passed. In the program Limits.Open bounds that wait.

--- a/router/process/node/state_test.go
+++ b/router/process/node/state_test.go
@@ -121,6 +121,11 @@
 	if err := router.recorder.Open(expired, open); err == nil {
 		t.Error("store down: got nil, want an error")
 	}
+	// The entry is applied, and then the result of its write. Without that the wait for
+	// the second entry can end before its write failed, and the third is appended.
+	for range 2 {
+		control.Query(router.thread, func(*node.State) bool { return true })
+	}
 	if err := router.recorder.Open(context.Background(), open); !errors.Is(err, node.ErrUnreachable) {
 		t.Errorf("store known down: got %v, want %v", err, node.ErrUnreachable)
 	}
