node: End back-offs after all failed readings of the list

Since the grace period depends on what a failure shows, a reading after refused calls (429) did not end the back-offs of the quota manager, of up to 16 s, as it did before. Recovered means again that calls failed before; only RetainFor depends on the kind of failure. TestSilentConnectionKeepsNoEndpoint failed for the silent and the refused call before the change.

--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -65,7 +65,7 @@
 // VMList carries a delta of the platform's list of VMs, or requests the whole list.
 type VMList struct {
 	vm.Delta
-	// Recovered is whether the platform was unavailable before it returned this list.
+	// Recovered is whether calls to the platform failed before it returned this list.
 	Recovered bool `cbor:"back,omitempty"`
 	// RetainFor is how long VMs that are missing from this list stay in use.
 	RetainFor time.Duration `cbor:"retain,omitempty"`
--- a/router/process/node/vm_list.go
+++ b/router/process/node/vm_list.go
@@ -50,7 +50,7 @@
 // VMListRead has the list of VMs that this process read from the platform.
 type VMListRead struct {
 	List vm.List
-	// Recovered reports whether the platform was unavailable before this reading.
+	// Recovered reports whether calls to the platform failed before this reading.
 	Recovered bool
 	// RetainFor is how long VMs that are missing from the list stay in use.
 	RetainFor time.Duration
--- a/router/process/node/vm_lister.go
+++ b/router/process/node/vm_lister.go
@@ -106,10 +106,14 @@
 	if l.unavailable {
 		l.Log.Emit(event.PlatformAvailable)
 	}
-	l.unavailable = false
+	outage := l.Outage.Take()
 	l.Policy.ListVersioned.Store(list.Version > 0)
-	recovered := l.Outage.Take()
-	l.Thread.Send(VMListRead{List: list, Recovered: recovered, RetainFor: l.retainFor(list, silent, recovered)})
+	l.Thread.Send(VMListRead{
+		List:      list,
+		Recovered: outage || silent || l.unavailable,
+		RetainFor: l.retainFor(list, silent, outage),
+	})
+	l.unavailable = false
 	l.readAt = list.ReadAt
 }
 
@@ -117,9 +121,9 @@
 // that is the grace period, since entries expire during it. If a connection gave no reply,
 // there may have been a short outage, or the VMs may have left: they stay in use for the
 // time in which a VM that was removed just after the reading before still serves.
-func (l *VMLister) retainFor(list vm.List, silent, recovered bool) time.Duration {
+func (l *VMLister) retainFor(list vm.List, silent, outage bool) time.Duration {
 	switch {
-	case recovered:
+	case outage:
 		return l.ReturnGrace
 	case silent && !l.readAt.IsZero():
 		return min(l.ReturnGrace, l.ListBound-DeliveryTime-list.ReadAt.Sub(l.readAt))
--- a/router/process/node/vm_lister_test.go
+++ b/router/process/node/vm_lister_test.go
@@ -121,7 +121,7 @@
 				lister.Poll(t.Context())
 			}
 			relayed := state.sentLists()
-			if len(relayed) == 0 || relayed[len(relayed)-1].VMList.RetainFor != test.kept && len(test.polls) == 1 {
+			if len(relayed) == 0 || !relayed[0].VMList.Recovered || relayed[len(relayed)-1].VMList.RetainFor != test.kept && len(test.polls) == 1 {
 				t.Errorf("relayed: got %+v, want the list with the time %s", relayed, test.kept)
 			}
 			check := func(want string) {
