--- a/router/process/node/vm_lister_test.go
+++ b/router/process/node/vm_lister_test.go
@@ -92,7 +92,6 @@
 		kept time.Duration
 	}{
 		{"silent connection", [][]error{{silent, nil}}, nil, sinceLastReading},
-		{"silent twice in turn", [][]error{{silent, nil}, {silent, nil}}, nil, 0},
 		{"silent, then a new connection is silent too", [][]error{{silent, silent}, {nil}}, nil, returnGrace},
 		{"silent, then the store is down", [][]error{{silent, down}, {nil}}, nil, returnGrace},
 		{"outage", [][]error{{down}, {down}, {nil}}, nil, returnGrace},
@@ -102,45 +101,84 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			state := newRelayingState()
-			fake := state.Clock.(*clock.Fake)
-			platform := &scriptedVMs{
-				clock: fake, outage: &node.Outage{},
-				list: vm.List{Version: 5, VMs: []vm.VM{engineVM("a"), engineVM("b")}},
-			}
-			lister := newVMLister(state.State, platform)
-			lister.Poll(t.Context())
-			state.sentLists()
+			made := newListedState(t)
 			var failure *store.UnavailableError
 			if errors.As(test.other, &failure) {
-				platform.outage.Record(failure)
+				made.platform.outage.Record(failure)
 			}
-			platform.list = vm.List{Version: 7, VMs: []vm.VM{engineVM("a")}}
+			made.removeB()
 			for _, results := range test.polls {
-				platform.errors = results
-				lister.Poll(t.Context())
-			}
-			relayed := state.sentLists()
-			if len(relayed) == 0 || !relayed[0].VMList.Recovered || relayed[len(relayed)-1].VMList.RetainFor != test.kept && len(test.polls) == 1 {
-				t.Errorf("relayed: got %+v, want the list with the time %s", relayed, test.kept)
+				made.poll(results...)
 			}
-			check := func(want string) {
-				t.Helper()
-				node.Tick{}.Apply(state.State)
-				if got := state.endpoints(); got != want {
-					t.Errorf("endpoints: got %s, want %s", got, want)
-				}
+			relayed := made.sentLists()
+			if len(relayed) == 0 || !relayed[0].VMList.Recovered || relayed[0].VMList.RetainFor != test.kept {
+				t.Errorf("relayed: got %+v, want the list after failed calls with the time %s", relayed, test.kept)
 			}
 			if test.kept > 0 {
-				fake.Advance(test.kept - 1)
-				check("[a b]")
-				fake.Advance(1)
+				made.advance(test.kept - 1)
+				made.check("[a b]")
+				made.advance(1)
 			}
-			check("[a]")
+			made.check("[a]")
 		})
 	}
 }
 
+// TestSilenceInTurnExtendsNoUse guards against a second silent connection that keeps an
+// endpoint which was missing after the first one.
+func TestSilenceInTurnExtendsNoUse(t *testing.T) {
+	made := newListedState(t)
+	made.removeB()
+	made.poll(failureOf(store.NoReply), nil)
+	made.check("[a b]")
+	made.poll(failureOf(store.NoReply), nil)
+	made.check("[a]")
+}
+
+// listedState is the state of a process that has read a list with the endpoints a and b.
+type listedState struct {
+	relayingState
+	t        *testing.T
+	platform *scriptedVMs
+	lister   *node.VMLister
+}
+
+func newListedState(t *testing.T) listedState {
+	t.Helper()
+	state := newRelayingState()
+	platform := &scriptedVMs{
+		clock: state.Clock.(*clock.Fake), outage: &node.Outage{},
+		list: vm.List{Version: 5, VMs: []vm.VM{engineVM("a"), engineVM("b")}},
+	}
+	made := listedState{state, t, platform, newVMLister(state.State, platform)}
+	made.poll(nil)
+	made.sentLists()
+	return made
+}
+
+// removeB removes b from the list.
+func (s listedState) removeB() {
+	s.platform.list = vm.List{Version: 7, VMs: []vm.VM{engineVM("a")}}
+}
+
+// poll polls once, with the results of the calls.
+func (s listedState) poll(results ...error) {
+	s.platform.errors = results
+	s.lister.Poll(s.t.Context())
+}
+
+func (s listedState) advance(by time.Duration) {
+	s.platform.clock.Advance(by)
+}
+
+func (s listedState) check(want string) {
+	s.t.Helper()
+	node.Tick{}.Apply(s.State)
+	if got := s.endpoints(); got != want {
+		s.t.Errorf("endpoints: got %s, want %s", got, want)
+	}
+}
+
 // TestOutageKeepsEndpointsOnce guards against endpoints in use beyond the grace period of
 // the first reading after they went missing, and against those kept that had said they
 // leave or left the list again.
