--- a/fleet/process/httpcall/httpcall.go
+++ b/fleet/process/httpcall/httpcall.go
@@ -141,15 +141,7 @@
 		cause = err
 	}
 	failure := call.Unavailable(connected && mayHaveTakenEffect(err), cause)
-	var status *StatusError
-	switch {
-	case errors.As(err, &status):
-		if status.Status < http.StatusInternalServerError {
-			failure.Kind = store.Refused
-		}
-	case connected && (reused || timedOut):
-		failure.Kind = store.NoReply
-	}
+	failure.Kind = failureKind(err, connected && (reused || timedOut))
 	if timedOut || failure.Kind == store.NoReply {
 		c.transport.CloseIdleConnections()
 	}
@@ -210,6 +202,20 @@
 	}
 }
 
+// failureKind returns what a failed call shows about the service. A connection was
+// established if it had carried an earlier call, or if the reply did not arrive in time.
+func failureKind(err error, established bool) store.FailureKind {
+	var status *StatusError
+	switch {
+	case errors.As(err, &status) && status.Status < http.StatusInternalServerError:
+		return store.Refused
+	case status == nil && established:
+		return store.NoReply
+	default:
+		return store.Unreachable
+	}
+}
+
 // mayHaveTakenEffect reports whether the service may have executed a write that got a
 // connection and failed with err. It has not if it replied with a status below 500 or
 // with 503, or if the connection could not be established.
