node: Find retained VMs that returned with vm.Missing

dropReturnedVMs built the set of listed names again that vm.Missing builds. VMs that are retained at one reading share their end, so that a retention holds them together, and vm.Missing serves both to find and to drop them. Behaviour is unchanged: the tests of the grace period pass as they are, and still fail if VMs that returned are kept or the end moves.

--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -152,8 +152,8 @@
 	// pendingPrompts has the observations that were not sent to the peers yet.
 	pendingPrompts PromptsObserved
 	vmList         vm.List
-	// retainedVMs are missing from vmList and stay in use for a while.
-	retainedVMs []retainedVM
+	// retained has the VMs that are missing from vmList and stay in use for a while.
+	retained []retention
 	// readings has the number of the last known reading of the list of VMs by its reader.
 	readings map[ident.Incarnation]int64
 	// pages has the account pages by object name.
--- a/router/process/node/vm_list.go
+++ b/router/process/node/vm_list.go
@@ -155,9 +155,9 @@
 	})
 }
 
-// retainedVM is a VM that is missing from the list of VMs and stays in use for a while.
-type retainedVM struct {
-	vm.VM
+// retention has VMs that are missing from the list of VMs and stay in use for a while.
+type retention struct {
+	vms   []vm.VM
 	until time.Time
 }
 
@@ -166,31 +166,25 @@
 // is retained already keeps its end: another outage must not extend its use. One that had
 // announced that it leaves still gets no requests.
 func (s *State) retainMissingVMs(previous vm.List, duration time.Duration) {
-	until := s.Clock.Now().Add(duration)
-	for _, missing := range vm.Missing(s.vmList.VMs, previous.VMs) {
-		s.retainedVMs = append(s.retainedVMs, retainedVM{VM: missing, until: until})
+	if missing := vm.Missing(s.vmList.VMs, previous.VMs); len(missing) > 0 {
+		s.retained = append(s.retained, retention{vms: missing, until: s.Clock.Now().Add(duration)})
 	}
 }
 
 // dropReturnedVMs ends the retention of VMs that are on the list again, so that they are
 // removed at once when they leave it.
 func (s *State) dropReturnedVMs() {
-	if len(s.retainedVMs) == 0 {
-		return
-	}
-	listed := make(map[string]bool, len(s.vmList.VMs))
-	for _, machine := range s.vmList.VMs {
-		listed[machine.Name] = true
+	for index := range s.retained {
+		s.retained[index].vms = vm.Missing(s.vmList.VMs, s.retained[index].vms)
 	}
-	s.retainedVMs = slices.DeleteFunc(s.retainedVMs, func(retained retainedVM) bool { return listed[retained.Name] })
 }
 
 // dropRetainedVMs removes the VMs that are still missing from the list at the end of
 // the grace period.
 func (s *State) dropRetainedVMs(now time.Time) {
-	retained := len(s.retainedVMs)
-	s.retainedVMs = slices.DeleteFunc(s.retainedVMs, func(machine retainedVM) bool { return !now.Before(machine.until) })
-	if len(s.retainedVMs) < retained {
+	before := len(s.retained)
+	s.retained = slices.DeleteFunc(s.retained, func(expiring retention) bool { return !now.Before(expiring.until) })
+	if len(s.retained) < before {
 		s.updateEndpoints()
 	}
 }
@@ -198,8 +192,8 @@
 // updateEndpoints updates the endpoints from the list of VMs and the retained VMs.
 func (s *State) updateEndpoints() {
 	list := slices.Clone(s.vmList.VMs)
-	for _, retained := range s.retainedVMs {
-		list = append(list, retained.VM)
+	for _, retained := range s.retained {
+		list = append(list, retained.vms...)
 	}
 	s.Endpoints.Update(list, s.Generation.Set.Pools)
 }
