serve: Allocate for a small body what it needs, and wrap no once in another

readBody allocated 32 KB for each body; bodies of runners that are not streamed have some hundred bytes to a few KB. Pieces now grow from 1 KB with what has arrived, to 32 KB as before. What a lease counts is unchanged. TrackPending returns a function that runs once already. TestBodiesWithoutEndStayInMemory still fails without the lease.

--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -171,7 +170,7 @@
 		r.release(job, chosen, classifyUnrelayed(response, err))
 		return RelayResult{Err: err, ErrorResponse: readErrorResponse(job, response, err)}, failed
 	}
-	result := job.Relay.Relay(ctx, job.Plan, response, &startObserver{Sink: sink, onData: sync.OnceFunc(responseStarted)})
+	result := job.Relay.Relay(ctx, job.Plan, response, &startObserver{Sink: sink, onData: responseStarted})
 	r.release(job, chosen, classifyRelayed(response, result.Err))
 	failed.delivered = result.Delivered
 	if result.Err == nil {
--- a/fleet/request/serve/buffered.go
+++ b/fleet/request/serve/buffered.go
@@ -43,9 +43,12 @@
 	return b.chargeByUsage(plan, result)
 }
 
-// bodyChunkBytes is the size of the pieces in which a body is read. Memory is used for what
-// has arrived, whatever length the endpoint announced.
-const bodyChunkBytes = 32 << 10
+// Sizes of the pieces in which a body is read. They grow with what has arrived, whatever
+// length the endpoint announced.
+const (
+	minBodyChunkBytes = 1 << 10
+	maxBodyChunkBytes = 32 << 10
+)
 
 // joinFactor is how much of its size a body occupies while its pieces are joined.
 const joinFactor = 2
@@ -54,7 +57,7 @@
 // returned RelayResult has the error and the charge.
 func readBody(plan admission.Plan, response *endpoint.Response, limit int64) ([]byte, RelayResult) {
 	var chunks [][]byte
-	chunk := make([]byte, 0, bodyChunkBytes)
+	chunk := make([]byte, 0, minBodyChunkBytes)
 	var size int64
 	for {
 		count, err := response.Body.Read(chunk[len(chunk):cap(chunk)])
@@ -75,7 +78,7 @@
 		}
 		if len(chunk) == cap(chunk) {
 			chunks = append(chunks, chunk)
-			chunk = make([]byte, 0, bodyChunkBytes)
+			chunk = make([]byte, 0, min(maxBodyChunkBytes, size))
 		}
 	}
 }
--- a/fleet/request/serve/memory_test.go
+++ b/fleet/request/serve/memory_test.go
@@ -1,6 +1,7 @@
 package serve_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"runtime"
@@ -34,10 +35,7 @@
 	)
 	for _, contentType := range []string{"application/json", "text/event-stream"} {
 		t.Run(contentType, func(t *testing.T) {
-			content := make([]byte, 64<<10)
-			for index := range content {
-				content[index] = 'x'
-			}
+			content := bytes.Repeat([]byte("x"), 64<<10)
 			made := newHarness(t, func(writer http.ResponseWriter, request *http.Request) {
 				writer.Header().Set("Content-Type", contentType)
 				if request.URL.Path == "/sound" {
