node, docs: Names that say what they hold

MaxFailuresPerMessage bounds whole responses too and is MaxReportsPerMessage. The test of silent connections was named after endpoints that are not kept, but they are, for a bounded time.

--- a/router/process/node/prompts.go
+++ b/router/process/node/prompts.go
@@ -12,9 +12,9 @@
 	"jacinthpaddle.example/fleet/process/quarantine"
 )
 
-// MaxFailuresPerMessage bounds the failures, or the whole responses, in one message to a
+// MaxReportsPerMessage bounds the failures, or the whole responses, in one message to a
 // peer, so that it fits into a frame.
-const MaxFailuresPerMessage = 100
+const MaxReportsPerMessage = 100
 
 // PromptMonitor implements serve.PromptMonitor and is safe for concurrent use.
 type PromptMonitor struct {
@@ -118,10 +118,10 @@
 }
 
 func (s *State) sendPromptsTo(to ident.Incarnation, observed PromptsObserved) {
-	for failures := range slices.Chunk(observed.Failures, MaxFailuresPerMessage) {
+	for failures := range slices.Chunk(observed.Failures, MaxReportsPerMessage) {
 		s.send(to, peer.Message{Prompts: &peer.Prompts{Failures: failures}})
 	}
-	for whole := range slices.Chunk(observed.Whole, MaxFailuresPerMessage) {
+	for whole := range slices.Chunk(observed.Whole, MaxReportsPerMessage) {
 		s.send(to, peer.Message{Prompts: &peer.Prompts{Whole: whole}})
 	}
 }
--- a/router/process/node/vm_lister_test.go
+++ b/router/process/node/vm_lister_test.go
@@ -74,11 +74,11 @@
 	return &store.UnavailableError{Operation: "watch", Kind: kind}
 }
 
-// TestSilentConnectionKeepsNoEndpoint guards against requests to endpoints that had left:
-// a watch on a silent connection was taken for an outage, after which missing endpoints
-// stayed in use for a grace period from that reading on. 25 requests reached an endpoint
-// later than 2.5 s after its removal, and 5 of them were lost with it.
-func TestSilentConnectionKeepsNoEndpoint(t *testing.T) {
+// TestSilentConnectionIsNoOutage guards against requests to endpoints that had left: a watch
+// on a silent connection was taken for an outage, after which missing endpoints stayed in use
+// for a grace period from that reading on. 25 requests reached an endpoint later than 2.5 s
+// after its removal, and 5 of them were lost with it.
+func TestSilentConnectionIsNoOutage(t *testing.T) {
 	silent, down, refused := failureOf(store.NoReply), failureOf(store.Unreachable), failureOf(store.Refused)
 	// A removal can have followed the reading before at once.
 	sinceLastReading := listBound - node.DeliveryTime - silentCall
