homes: Keep requests in the home regions of their route and team

Cause: routes and teams had no home regions, so that a request of a route with homes reached endpoints of other regions, and locate responses named routers anywhere. Change: fleet/version/homes decides; admission resolves the homes of a request, pick leaves out other endpoints, forwarding and locate leave out other routers. Locate responses name no router with which contact was lost longer ago than [locate] contact_bound.

--- a/fleet/connection/forward/client.go
+++ b/fleet/connection/forward/client.go
@@ -25,6 +25,10 @@
 	Clock  clock.Clock
 	// Address returns the peer address of a process, or false if it is not known to run.
 	Address func(holder ident.Incarnation) (string, bool)
+	// Region returns the region of a process, or an empty string if it is not known.
+	Region func(holder ident.Incarnation) string
+	// OwnRegion is the region of this process.
+	OwnRegion string
 }
 
 // Client forwards requests to other routers. It is safe for concurrent use.
@@ -53,6 +57,9 @@
 	if !ok {
 		return nil, &Error{Holder: holder, Reason: NoAddress}
 	}
+	if !c.mayReceive(holder, request) {
+		return nil, &Error{Holder: holder, Reason: OutsideHomes}
+	}
 	url := "http://" + address + Path
 	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(request.Body))
 	if err != nil {
@@ -71,6 +78,15 @@
 	return response, nil
 }
 
+// mayReceive reports whether the body of the request may be sent to the holder.
+func (c *Client) mayReceive(holder ident.Incarnation, request Request) bool {
+	if !request.Homes.Bound() {
+		return true
+	}
+	region := c.settings.Region(holder)
+	return region == c.settings.OwnRegion || request.Homes.Allows(region)
+}
+
 // Relay writes the response to the caller as it arrives. An error is an *Error. After an
 // error the caller's connection must be closed, so that the caller does not mistake a
 // part of the response for all of it.
--- a/fleet/connection/forward/forward.go
+++ b/fleet/connection/forward/forward.go
@@ -39,6 +39,7 @@
 	"jacinthpaddle.example/fleet/connection/auth"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/secret"
+	"jacinthpaddle.example/fleet/version/homes"
 )
 
 // Path is the path at which a router accepts forwarded requests.
@@ -80,6 +81,9 @@
 	Unreachable Reason = "unreachable"
 	// KeyNotChecked means that the response does not have KeyCheckedHeader.
 	KeyNotChecked Reason = "unsettled"
+	// OutsideHomes means that the holder is in another region than this process, and not in
+	// a home region of the request. Nothing was sent.
+	OutsideHomes Reason = "outside_homes"
 	// Broken means that the response ended early or could not be written to the caller.
 	Broken Reason = "broken"
 )
@@ -117,6 +121,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Homes are the regions to which the body may be sent, besides that of this process,
+	// which is the one of its caller.
+	Homes homes.Homes
 }
 
 // digest returns a hash of the body and the signed headers.
--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -38,6 +38,7 @@
 	LibraryMessage      = Kind{1011, "message of a library", logrus.WarnLevel}
 	GenerationActivated = Kind{2001, "generation taken", logrus.InfoLevel}
 	GenerationFailed    = Kind{2002, "generation not readable", logrus.WarnLevel}
+	HomesDisjoint       = Kind{2003, "route and team have no home region in common", logrus.WarnLevel}
 	PlatformUnavailable = Kind{3001, "platform unavailable", logrus.WarnLevel}
 	PlatformAvailable   = Kind{3002, "platform available again", logrus.InfoLevel}
 	PlatformSilent      = Kind{3003, "connection to the platform gave no reply", logrus.InfoLevel}
@@ -72,7 +73,7 @@
 	return []Kind{
 		Started, Draining, Stopped, BadSettings, ListenFailed, ControlPanicked, DumpWritten, DrainIncomplete,
 		Reloaded, ReloadRefused, LibraryMessage,
-		GenerationActivated, GenerationFailed,
+		GenerationActivated, GenerationFailed, HomesDisjoint,
 		PlatformUnavailable, PlatformAvailable, PlatformSilent,
 		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed,
 		JournalFailed, JournalRecovered, JournalFull,
--- a/fleet/process/member/member.go
+++ b/fleet/process/member/member.go
@@ -81,6 +81,9 @@
 	// Sequence is increased by the process itself with each change of its record.
 	Sequence int64 `json:"sequence" cbor:"sequence"`
 	Load     Load  `json:"load" cbor:"load"`
+	// StateSince is when the process that holds the view learnt of the state. It is set in
+	// the members that a View returns and is not exchanged.
+	StateSince time.Time `json:"state_since" cbor:"-"`
 }
 
 // Version identifies one version of a record, without its content.
--- a/fleet/process/member/view.go
+++ b/fleet/process/member/view.go
@@ -129,10 +129,11 @@
 	return members
 }
 
-// withVMState returns the member of a record, in the state draining if it is live and its
-// VM is leaving.
+// withVMState returns the member of a record with its StateSince, in the state draining if
+// it is live and its VM is leaving.
 func (v *View) withVMState(rec *record) Member {
 	effective := rec.member
+	effective.StateSince = rec.stateSince
 	if effective.State == Live && v.vmStates[effective.VM] == vm.Leaving {
 		effective.State = Draining
 	}
--- a/fleet/request/admission/admission.go
+++ b/fleet/request/admission/admission.go
@@ -20,6 +20,7 @@
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/request/outcome"
 	"jacinthpaddle.example/fleet/version/declaration"
+	"jacinthpaddle.example/fleet/version/homes"
 	"jacinthpaddle.example/fleet/version/snapshot"
 )
 
@@ -35,6 +36,8 @@
 	// Target is the name of the model, service or path that the request is for.
 	Target string
 	Pool   declaration.Pool
+	// Homes are the regions in which the request may be served.
+	Homes homes.Homes
 	// Idempotent requests may be retried after an endpoint may have run them.
 	Idempotent bool
 	// Reserve is the most that the request can cost, in credits.
@@ -98,6 +101,10 @@
 		reason := fmt.Sprintf("no model of that name for team %s", team.Name)
 		return Plan{}, refuse(outcome.NotFound, "model", request.Model, "model", reason)
 	}
+	bound, err := homesOf("model", route.Name, route.Regions, team)
+	if err != nil {
+		return Plan{}, err
+	}
 	model, _ := config.Model(route.Target)
 	pool, _ := config.Pool(model.Pool)
 	output, err := maxOutputTokens(model, request)
@@ -114,6 +121,7 @@
 		Kind:         declaration.ModelRoute,
 		Target:       model.Name,
 		Pool:         pool,
+		Homes:        bound,
 		Idempotent:   true,
 		Reserve:      reserve,
 		InputPrice:   model.InputPrice,
@@ -132,6 +140,10 @@
 		reason := fmt.Sprintf("no service of that name for team %s", team.Name)
 		return Plan{}, refuse(outcome.NotFound, "service", name, "path", reason)
 	}
+	bound, err := homesOf("service", route.Name, route.Regions, team)
+	if err != nil {
+		return Plan{}, err
+	}
 	service, _ := config.Service(route.Target)
 	pool, _ := config.Pool(service.Pool)
 	return Plan{
@@ -139,6 +151,7 @@
 		Kind:         declaration.ServiceRoute,
 		Target:       service.Name,
 		Pool:         pool,
+		Homes:        bound,
 		Idempotent:   service.Idempotent,
 		Reserve:      service.Price,
 		Floor:        service.Price,
@@ -147,6 +160,17 @@
 	}, nil
 }
 
+// homesOf returns the homes of a request of the team on a route, or an error if route and
+// team have none in common.
+func homesOf(object, name string, regions []string, team declaration.Team) (homes.Homes, error) {
+	bound := homes.Homes{Route: regions, Team: team.Regions}
+	if bound.Disjoint() {
+		reason := fmt.Sprintf("has no home region in common with team %s", team.Name)
+		return homes.Homes{}, refuse(outcome.NoHome, object, name, "regions", reason)
+	}
+	return bound, nil
+}
+
 // Charge returns the cost of the used tokens in credits, at most the reservation. It
 // does not apply Floor.
 func (p Plan) Charge(input, output int64) int64 {
--- a/fleet/request/admission/path.go
+++ b/fleet/request/admission/path.go
@@ -39,6 +39,10 @@
 	if err != nil {
 		return Plan{}, err
 	}
+	bound, err := homesOf("path", path.Name, path.Regions, team)
+	if err != nil {
+		return Plan{}, err
+	}
 	reserve, ok := cost(request.InputTokens, 1, request.MaxOutput, 1)
 	if !ok {
 		return Plan{}, refuse(outcome.BadRequest, "path", path.Name, "tokens", "the cost is out of range")
@@ -49,6 +53,7 @@
 		Kind:               declaration.ServiceRoute,
 		Target:             path.Name,
 		Pool:               pool,
+		Homes:              bound,
 		Idempotent:         path.Idempotent(),
 		InputPrice:         1,
 		OutputPrice:        1,
--- a/fleet/request/locate/locate.go
+++ b/fleet/request/locate/locate.go
@@ -12,6 +12,8 @@
 //		Team:       team.Name,
 //		Region:     region,
 //		SubsetSize: locate.SubsetSize(demand),
+//		Fallback:   config.TeamFallback(team),
+//		Contact:    locate.Contact{Now: clock.Now(), Bound: bound},
 //	})
 package locate
 
@@ -25,6 +27,7 @@
 
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/member"
+	"jacinthpaddle.example/fleet/version/homes"
 )
 
 // Limits of a response.
@@ -66,6 +69,9 @@
 	// SubsetSize is the number of routers in the caller's region over which the team is
 	// spread. A value below MinSubsetSize is raised to it.
 	SubsetSize int
+	// Fallback has the regions besides the caller's own to which it may be sent.
+	Fallback homes.Fallback
+	Contact  Contact
 }
 
 // SubsetSize returns the number of routers over which a team with that demand is spread in
@@ -79,13 +85,16 @@
 }
 
 // SelectRouters returns the routers for a query: those of the caller's region first, then
-// up to FallbackAddresses of all other regions. Draining and failed (gone) routers are
-// left out. Suspected routers of the caller's region are listed only if none there is
+// up to FallbackAddresses of the other regions to which the team may be sent. If some of its
+// routes have homes, these are the homes that they have in common; other regions are used
+// only if there is no router in these, nor in the caller's region, and only for a team that
+// also has routes without homes. Draining and failed (gone) routers are left out, and so are
+// those with which contact was lost for longer than the bound. Suspected routers of the caller's region are listed only if none there is
 // live, and those of other regions only if none in any of these is live. They come last.
 func SelectRouters(members []member.Member, query Query) Response {
 	regional, others := split(members, query)
 	chosen := selectUsable(regional, max(query.SubsetSize, MinSubsetSize))
-	chosen = append(chosen, selectUsable(others, FallbackAddresses)...)
+	chosen = append(chosen, selectUsable(fallbackRouters(others, query.Fallback, len(regional) == 0), FallbackAddresses)...)
 	if len(aliveOnly(regional)) == 0 {
 		chosen = aliveFirst(chosen)
 	}
@@ -107,7 +116,7 @@
 func split(members []member.Member, query Query) (regional, others []member.Member) {
 	for _, router := range ranked(members, query.Team) {
 		switch {
-		case router.State != member.Live && router.State != member.Suspected:
+		case router.State != member.Live && router.State != member.Suspected || query.Contact.lost(router):
 		case router.Region == query.Region:
 			regional = append(regional, router)
 		default:
@@ -117,6 +126,15 @@
 	return regional, others
 }
 
+// fallbackRouters returns the routers of other regions to which a caller may be sent. It is
+// isolated if its own region has no router.
+func fallbackRouters(others []member.Member, fallback homes.Fallback, isolated bool) []member.Member {
+	if fallback.Bound && !isolated {
+		fallback.Anywhere = false
+	}
+	return inFallback(others, fallback)
+}
+
 // selectUsable returns the first count live routers, or the first count suspected
 // ones if none is live.
 func selectUsable(routers []member.Member, count int) []member.Member {
--- a/fleet/request/locate/nearest_test.go
+++ b/fleet/request/locate/nearest_test.go
@@ -7,8 +7,11 @@
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/request/locate"
+	"jacinthpaddle.example/fleet/version/homes"
 )
 
+var hall = vm.Locality{Region: "western", AvailabilityZone: "hall"}
+
 func at(region, zone, name string, state member.State) member.Member {
 	made := router(region, 1, state)
 	made.Incarnation = "i-" + made.Incarnation + "-" + member.Member{VM: name}.Incarnation
@@ -23,7 +26,7 @@
 }
 
 func TestNearest(t *testing.T) {
-	locality := vm.Locality{Region: "western", AvailabilityZone: "hall"}
+	query := locate.NearestQuery{Locality: hall, Fallback: homes.Fallback{Anywhere: true}}
 	tests := []struct {
 		name    string
 		members []member.Member
@@ -51,7 +54,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := locate.Nearest(test.members, locality); !slices.Equal(got, test.want) {
+			if got := locate.Nearest(test.members, query); !slices.Equal(got, test.want) {
 				t.Errorf("addresses: got %v, want %v", got, test.want)
 			}
 		})
@@ -63,7 +66,7 @@
 func TestNearestOmitsPredecessors(t *testing.T) {
 	old, fresh := at("western", "hall", "a", member.Suspected), at("western", "hall", "a", member.Live)
 	old.Incarnation = "old"
-	got := locate.Nearest([]member.Member{old, fresh}, vm.Locality{Region: "western", AvailabilityZone: "hall"})
+	got := locate.Nearest([]member.Member{old, fresh}, locate.NearestQuery{Locality: hall})
 	if want := []string{"a"}; !slices.Equal(got, want) {
 		t.Errorf("addresses: got %v, want %v", got, want)
 	}
--- a/fleet/request/outcome/outcome.go
+++ b/fleet/request/outcome/outcome.go
@@ -42,6 +42,11 @@
 	Overloaded Code = "overloaded"
 	// NoEndpoint means that no endpoint of the pool accepts the request.
 	NoEndpoint Code = "no_endpoint"
+	// NoHome means that route and team have no home region in common.
+	NoHome Code = "no_home"
+	// HomeUnavailable means that no endpoint of the pool in the home regions of the request
+	// accepts it, while there are endpoints elsewhere.
+	HomeUnavailable Code = "home_unavailable"
 	// Quarantined means that endpoints crash under a part of the prompt.
 	Quarantined Code = "quarantined"
 	// NoRecord means that the router cannot write or read a record that the request
@@ -109,7 +114,7 @@
 		return http.StatusTooManyRequests
 	case Conflict:
 		return http.StatusConflict
-	case NoEndpoint, NoRecord, Quarantined:
+	case NoEndpoint, NoRecord, NoHome, HomeUnavailable, Quarantined:
 		return http.StatusServiceUnavailable
 	case TimedOut:
 		return http.StatusGatewayTimeout
--- a/fleet/version/declaration/check.go
+++ b/fleet/version/declaration/check.go
@@ -39,6 +39,7 @@
 	checker.checkNames()
 	checker.checkValues()
 	checker.checkReferences()
+	checker.checkRegions()
 	checker.checkAffordability()
 	if predecessor != nil {
 		checker.faults = append(checker.faults, checkPurchasedTotals(set, *predecessor)...)
--- a/fleet/version/declaration/declaration.go
+++ b/fleet/version/declaration/declaration.go
@@ -36,6 +36,9 @@
 	// Weight is the share of the team in a weighted fair queue, relative to the weights of
 	// the other teams.
 	Weight int `json:"weight"`
+	// Regions are the home regions of the team's requests. If it is empty, the team binds
+	// them to none.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Budget is a prepaid amount of credits, the unit of all prices. Its teams pay for their
@@ -97,6 +100,9 @@
 	// Teams are the names of the teams that may use the route. If it is empty, all
 	// teams may.
 	Teams []string `json:"teams,omitempty"`
+	// Regions are the home regions of the route's requests. If it is empty, the route binds
+	// them to none.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // PoolKind is the kind of program that the VMs of a pool run.
@@ -157,6 +163,9 @@
 	Public bool `json:"public,omitempty"`
 	// Resumable streams can be continued at another endpoint.
 	Resumable bool `json:"resumable,omitempty"`
+	// Regions are the home regions of the path's requests. If it is empty, the path binds
+	// them to none.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Backend is a pool of a path. It gets a share of the requests in proportion to Weight.
--- a/fleet/version/declaration/schema.go
+++ b/fleet/version/declaration/schema.go
@@ -76,6 +76,7 @@
 			listField("key_digests", func(t *Team) *[]string { return &t.KeyDigests }).asRequired(),
 			countField("max_concurrent", func(t *Team) *int { return &t.MaxConcurrent }),
 			countField("weight", func(t *Team) *int { return &t.Weight }),
+			listField(regionsField, func(t *Team) *[]string { return &t.Regions }),
 		},
 	}
 }
@@ -133,6 +134,7 @@
 			textField("kind", func(r *Route) *RouteKind { return &r.Kind }).asRequired(),
 			textField("target", func(r *Route) *string { return &r.Target }).asRequired(),
 			listField("teams", func(r *Route) *[]string { return &r.Teams }),
+			listField(regionsField, func(r *Route) *[]string { return &r.Regions }),
 		},
 	}
 }
--- a/fleet/version/snapshot/snapshot.go
+++ b/fleet/version/snapshot/snapshot.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"jacinthpaddle.example/fleet/version/declaration"
+	"jacinthpaddle.example/fleet/version/homes"
 )
 
 // Snapshot is one generation with indexes over its objects. It is immutable and safe for
@@ -32,6 +33,8 @@
 	routes   map[string]declaration.Route
 	pools    map[string]declaration.Pool
 	paths    map[string]map[string]declaration.Path
+	// fallbacks is keyed by host.
+	fallbacks map[string]homes.Fallback
 }
 
 // New returns a snapshot of the set, which must have no faults.
@@ -78,6 +81,7 @@
 		}
 		s.paths[path.Host][path.Prefix] = path
 	}
+	s.fallbacks = hostFallbacks(s.Set.Paths)
 }
 
 // KeyDigest returns the SHA-256 digest of a caller's API key in lower-case hex, as teams
--- a/jacinth/request/command/declarations.go
+++ b/jacinth/request/command/declarations.go
@@ -59,6 +59,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkRegions(ctx, platform, plan); err != nil {
+		return err
+	}
 	if c.Base != nil {
 		if err := plan.CheckBase(*c.Base); err != nil {
 			return err
@@ -74,6 +77,19 @@
 	return session.confirm(ctx, platform, plan, pointer, c.Wait)
 }
 
+// checkRegions checks the home regions in the plan, if there are any, against the list of
+// VMs.
+func checkRegions(ctx context.Context, lister vm.Lister, plan rollout.Plan) error {
+	if len(declaration.NamedRegions(plan.Set)) == 0 {
+		return nil
+	}
+	list, err := lister.VMs(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return plan.CheckRegions(list.VMs)
+}
+
 // confirm waits until the routers confirm the generation and prints the result.
 func (s *session) confirm(ctx context.Context, lister vm.Lister, plan rollout.Plan, pointer generation.Pointer, limit time.Duration) error {
 	machines, err := s.routerVMs(ctx, lister)
--- a/jacinth/version/rollout/rollout.go
+++ b/jacinth/version/rollout/rollout.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 
 	"jacinthpaddle.example/fleet/process/store"
+	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/version/declaration"
 	"jacinthpaddle.example/fleet/version/generation"
 )
@@ -73,6 +74,20 @@
 	return plan, nil
 }
 
+// CheckRegions returns a *declaration.FaultsError if the set names a home region that has
+// none of the machines and is not named in the active generation. A region can lose all its
+// machines while the generation that names it is active.
+func (p Plan) CheckRegions(machines []vm.VM) error {
+	known := declaration.NamedRegions(p.Predecessor)
+	for _, machine := range machines {
+		known = append(known, machine.Region)
+	}
+	if faults := declaration.CheckRegions(p.Set, known); len(faults) > 0 {
+		return &declaration.FaultsError{Faults: faults}
+	}
+	return nil
+}
+
 // Publish makes the set the active generation. It returns a *generation.ConflictError if
 // another generation was published since Prepare.
 func (p Plan) Publish(ctx context.Context, objects store.Store) (generation.Pointer, error) {
--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -123,4 +123,5 @@
 	check.positive(s.Journal.OpenTimeout, "journal", "open_timeout")
 	check.positive(s.Journal.FinalTimeout, "journal", "final_timeout")
 	check.positive(s.Locate.TTL, "locate", "ttl")
+	check.require(s.Locate.ContactBound >= 0, "locate", "contact_bound", "must not be negative")
 }
--- a/router/process/node/generation.go
+++ b/router/process/node/generation.go
@@ -23,7 +23,8 @@
 		return
 	}
 	state.Generation = m.Generation
-	state.ActiveSnapshot.Store(snapshot.New(m.Generation.Number, m.Generation.Set))
+	active := snapshot.New(m.Generation.Number, m.Generation.Set)
+	state.ActiveSnapshot.Store(active)
 	for budget := range state.Quota.Allocations {
 		state.Quota.SetPurchased(budget, state.purchased(budget))
 	}
@@ -31,6 +32,18 @@
 	state.announceGenerationToAll()
 	state.Log.Emit(event.GenerationActivated, event.Int("generation", m.Generation.Number),
 		event.String("digest", m.Generation.Digest))
+	state.logHomeConflicts(active)
+}
+
+// maxConflictLines bounds the log lines about conflicts of homes in one generation.
+const maxConflictLines = 16
+
+func (s *State) logHomeConflicts(active *snapshot.Snapshot) {
+	conflicts := active.HomeConflicts()
+	for _, conflict := range conflicts[:min(maxConflictLines, len(conflicts))] {
+		s.Log.Emit(event.HomesDisjoint, event.Int("generation", active.Generation), event.String("object", conflict.Kind),
+			event.String("name", conflict.Name), event.String("team", conflict.Team), event.Int("teams", conflict.Teams))
+	}
 }
 
 // announceGeneration sends the number of the active generation to a peer.
--- a/router/process/node/idempotency.go
+++ b/router/process/node/idempotency.go
@@ -33,7 +33,13 @@
 		Stopping: n.stopping.Load,
 	})
 	addresses := &peerAddresses{members: n.state.Members}
-	n.idempotency.forwarder = forward.NewClient(forward.Settings{Secret: key, Clock: n.Clock, Address: addresses.lookup})
+	n.idempotency.forwarder = forward.NewClient(forward.Settings{
+		Secret:    key,
+		Clock:     n.Clock,
+		Address:   addresses.lookup,
+		Region:    addresses.region,
+		OwnRegion: n.Settings.VM.Region,
+	})
 }
 
 // forwardedHandler returns the handler for requests that other routers forward.
@@ -62,14 +68,25 @@
 // lookup returns the address of an incarnation's peer port. It returns false if the
 // incarnation is unknown or has failed.
 func (a *peerAddresses) lookup(incarnation ident.Incarnation) (string, bool) {
+	peer, ok := a.member(incarnation)
+	return peer.PeerAddress, ok && peer.State != member.Gone
+}
+
+// region returns the region of an incarnation, or an empty string if it is unknown.
+func (a *peerAddresses) region(incarnation ident.Incarnation) string {
+	peer, _ := a.member(incarnation)
+	return peer.Region
+}
+
+func (a *peerAddresses) member(incarnation ident.Incarnation) (member.Member, bool) {
 	members := a.members.Load()
 	if members == nil {
-		return "", false
+		return member.Member{}, false
 	}
 	for _, peer := range *members {
 		if peer.Incarnation == incarnation {
-			return peer.PeerAddress, peer.State != member.Gone
+			return peer, true
 		}
 	}
-	return "", false
+	return member.Member{}, false
 }
--- a/router/process/node/locator.go
+++ b/router/process/node/locator.go
@@ -3,13 +3,15 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
+	"jacinthpaddle.example/fleet/process/clock"
+	"jacinthpaddle.example/fleet/process/current"
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/secret"
 	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/request/locate"
 	"jacinthpaddle.example/fleet/version/declaration"
+	"jacinthpaddle.example/fleet/version/snapshot"
 	"jacinthpaddle.example/router/request/frontend"
 )
 
@@ -21,10 +23,12 @@
 // and from the counted requests of each team. It implements frontend.Locator and is
 // safe for concurrent use.
 type locator struct {
-	members  *atomic.Pointer[[]member.Member]
-	locality vm.Locality
-	ttl      time.Duration
-	secret   secret.Key
+	members        *atomic.Pointer[[]member.Member]
+	activeSnapshot *current.Value[*snapshot.Snapshot]
+	clock          clock.Clock
+	locality       vm.Locality
+	settings       LocateSettings
+	secret         secret.Key
 	// demands maps names of teams to their *teamDemand.
 	demands sync.Map
 }
@@ -50,14 +54,17 @@
 		region = l.locality.Region
 	}
 	response := locate.Response{}
-	if members := l.members.Load(); members != nil {
+	active, known := l.activeSnapshot.Load()
+	if members := l.members.Load(); members != nil && known {
 		response = locate.SelectRouters(*members, locate.Query{
 			Team:       team.Name,
 			Region:     region,
 			SubsetSize: locate.SubsetSize(l.demandOf(team.Name).requestsPerSecond() * locate.MinSubsetSize),
+			Fallback:   active.TeamFallback(team),
+			Contact:    locate.Contact{Now: l.clock.Now(), Bound: l.settings.ContactBound},
 		})
 	}
-	response.TTL = l.ttl
+	response.TTL = l.settings.TTL
 	result := frontend.LocateResponse{Response: response}
 	if len(response.Addresses) == 0 {
 		return result
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -179,6 +179,9 @@
 type LocateSettings struct {
 	// TTL is how long a caller may use a response.
 	TTL time.Duration `ini:"ttl"`
+	// ContactBound is the time since contact with a router was lost after which no response
+	// names it. Zero is no bound.
+	ContactBound time.Duration `ini:"contact_bound"`
 }
 
 // LogSettings configures the log. A reload applies them at once.
--- a/router/process/node/wire.go
+++ b/router/process/node/wire.go
@@ -42,10 +42,12 @@
 		},
 	}
 	n.locator = &locator{
-		members:  n.state.Members,
-		locality: n.Settings.Locality(),
-		ttl:      n.Settings.Locate.TTL,
-		secret:   secret.Key(n.Settings.Fleet.Secret),
+		members:        n.state.Members,
+		activeSnapshot: n.state.ActiveSnapshot,
+		clock:          n.Clock,
+		locality:       n.Settings.Locality(),
+		settings:       n.Settings.Locate,
+		secret:         secret.Key(n.Settings.Fleet.Secret),
 	}
 	n.setUpIdempotency()
 	n.frontend = frontend.New(frontend.Deps{
--- a/router/request/frontend/idempotency.go
+++ b/router/request/frontend/idempotency.go
@@ -82,6 +82,7 @@
 				Path:   uri,
 				Header: request.Header,
 				Body:   body,
+				Homes:  job.Plan.Homes,
 			})
 		},
 	}, replaySink{sink: sink})
