member, locate: Tests of homes; suspect a member again after it returned

Cause: a member that refuted a suspicion could not be suspected again for a minute, also if a link to it came up and was lost in between, so that locate responses named a killed process as live for up to a minute. Change: a link that comes up ends the interval. Seen failing first: TestMemberThatReturnedIsSuspectedAgain (no update instead of one).

--- a/fleet/process/member/failure_detection.go
+++ b/fleet/process/member/failure_detection.go
@@ -7,11 +7,13 @@
 	"jacinthpaddle.example/fleet/process/vm"
 )
 
-// LinkUp records that this process has a link to the member.
+// LinkUp records that this process has a link to the member. The loss of this link will be
+// another failure than the last one for which the member was suspected.
 func (v *View) LinkUp(incarnation ident.Incarnation) {
 	if rec, ok := v.records[incarnation]; ok {
 		rec.linked = true
 		rec.linkDownSince = time.Time{}
+		rec.lastSuspected = time.Time{}
 	}
 }
 
--- a/fleet/process/member/view.go
+++ b/fleet/process/member/view.go
@@ -20,8 +20,9 @@
 	GoneAfter = 30 * time.Second
 	// ForgetAfter is the time after which the record of a gone process is deleted.
 	ForgetAfter = 10 * time.Minute
-	// SuspectAgainAfter is the minimum time between two suspicions of one process, which
-	// limits the gossip about a process that keeps refuting them.
+	// SuspectAgainAfter is the minimum time between two suspicions of one process to which
+	// no link came up in between. It limits the gossip about a process that keeps refuting
+	// them.
 	SuspectAgainAfter = time.Minute
 )
 
@@ -35,7 +36,8 @@
 	// is up, if there was none, or if it was closed because it was not needed.
 	linkDownSince time.Time
 	stateSince    time.Time
-	// lastSuspected is when this process last suspected the member, or zero.
+	// lastSuspected is when this process last suspected the member, or zero if it did not
+	// since the last link to the member came up.
 	lastSuspected time.Time
 }
 
@@ -244,8 +246,8 @@
 }
 
 // Suspect marks a live or draining member suspected and returns its changed record. It
-// does nothing if a link to the member is up or the last suspicion is more recent than
-// SuspectAgainAfter.
+// does nothing if a link to the member is up, or if the last suspicion is more recent than
+// SuspectAgainAfter and no link came up since.
 func (v *View) Suspect(incarnation ident.Incarnation, now time.Time) []Member {
 	rec, ok := v.records[incarnation]
 	if !ok || incarnation == v.self || rec.linked {
--- a/fleet/process/member/view_test.go
+++ b/fleet/process/member/view_test.go
@@ -124,6 +124,45 @@
 	}
 }
 
+// A process was cut off, returned and was killed soon after. The link that it opened in
+// between shows that the new loss is another failure.
+func TestMemberThatReturnedIsSuspectedAgain(t *testing.T) {
+	view := viewOf("a", memberNamed("b"))
+	view.LinkUp("b")
+	view.LinkDown("b", epoch)
+	view.Tick(epoch.Add(member.SuspectAfter))
+	refuted := memberNamed("b")
+	refuted.Sequence = 2
+	back := epoch.Add(10 * time.Second)
+	view.Merge([]member.Member{refuted}, back)
+	view.LinkUp("b")
+	view.LinkDown("b", back)
+	if got := view.Tick(back.Add(member.SuspectAfter)); len(got) != 1 || got[0].State != member.Suspected {
+		t.Errorf("updates: got %+v, want b suspected", got)
+	}
+}
+
+// Locate responses drop a suspected router by the time since then.
+func TestMembersHaveTheTimeOfTheirState(t *testing.T) {
+	view := viewOf("a", memberNamed("b"))
+	suspected := memberNamed("b")
+	suspected.State = member.Suspected
+	suspected.StateSince = epoch.Add(-time.Hour)
+	heard := epoch.Add(3 * time.Second)
+	view.Merge([]member.Member{suspected}, heard)
+	view.Merge([]member.Member{suspected}, heard.Add(time.Second))
+	if got, _ := view.Member("b"); !got.StateSince.Equal(heard) {
+		t.Errorf("suspected since: got %s, want %s", got.StateSince, heard)
+	}
+	refuted := memberNamed("b")
+	refuted.Sequence = 2
+	back := heard.Add(time.Minute)
+	view.Merge([]member.Member{refuted}, back)
+	if got, _ := view.Member("b"); !got.StateSince.Equal(back) {
+		t.Errorf("live since: got %s, want %s", got.StateSince, back)
+	}
+}
+
 func TestUnreachableMemberIsGoneOnlyIfUnlisted(t *testing.T) {
 	const partition = 5 * time.Hour
 	view := viewOf("a", memberNamed("b"))
--- a/fleet/request/admission/path_test.go
+++ b/fleet/request/admission/path_test.go
@@ -1,11 +1,13 @@
 package admission_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 
+	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/request/admission"
 	"jacinthpaddle.example/fleet/request/outcome"
 	"jacinthpaddle.example/fleet/version/declaration"
@@ -99,3 +101,56 @@
 		t.Errorf("requests to desk: got %d, want %d", got, want)
 	}
 }
+
+func TestRequestsWithoutACommonHomeAreRefused(t *testing.T) {
+	team := declaration.Team{Name: "hall", KeyDigests: []string{snapshot.KeyDigest("key")}, Regions: []string{"western", "southern"}}
+	config := snapshot.New(1, declaration.Set{
+		Teams:    []declaration.Team{team},
+		Pools:    []declaration.Pool{{Name: "desk", Kind: declaration.EndpointPool}},
+		Models:   []declaration.Model{{Name: "m", Pool: "desk", MaxOutput: 10, DefaultOutput: 10}},
+		Services: []declaration.Service{{Name: "s", Pool: "desk"}},
+		Routes: []declaration.Route{
+			{Name: "m-west", Kind: declaration.ModelRoute, Target: "m", Regions: []string{"western"}},
+			{Name: "m-central", Kind: declaration.ModelRoute, Target: "m", Regions: []string{"central"}},
+			{Name: "s-any", Kind: declaration.ServiceRoute, Target: "s"},
+			{Name: "s-central", Kind: declaration.ServiceRoute, Target: "s", Regions: []string{"central"}},
+		},
+		Paths: []declaration.Path{
+			{Name: "p-west", Host: "a.example", Prefix: "/west/", Backends: []declaration.Backend{{Pool: "desk", Weight: 1}}, Regions: []string{"western", "central"}},
+			{Name: "p-central", Host: "a.example", Prefix: "/central/", Backends: []declaration.Backend{{Pool: "desk", Weight: 1}}, Regions: []string{"central"}},
+			{Name: "p-open", Host: "a.example", Prefix: "/open/", Public: true, Backends: []declaration.Backend{{Pool: "desk", Weight: 1}}, Regions: []string{"central"}},
+		},
+	})
+	chat := func(model string) (admission.Plan, error) {
+		return admission.Chat(config, team, admission.ChatRequest{Model: model})
+	}
+	path := func(target string) (admission.Plan, error) {
+		return admission.Path(config, admission.PathRequest{Host: "a.example", Path: target, Key: "key"})
+	}
+	tests := []struct {
+		name  string
+		admit func() (admission.Plan, error)
+		// allowed is a region in which the request may be served, or empty if it is refused.
+		allowed string
+	}{
+		{"model", func() (admission.Plan, error) { return chat("m-west") }, "western"},
+		{"model without a common home", func() (admission.Plan, error) { return chat("m-central") }, ""},
+		{"service with the homes of the team", func() (admission.Plan, error) { return admission.Service(config, team, "s-any") }, "southern"},
+		{"service without a common home", func() (admission.Plan, error) { return admission.Service(config, team, "s-central") }, ""},
+		{"path", func() (admission.Plan, error) { return path("/west/1") }, "western"},
+		{"path without a common home", func() (admission.Plan, error) { return path("/central/1") }, ""},
+		{"public path, whatever the key", func() (admission.Plan, error) { return path("/open/1") }, "central"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			plan, err := test.admit()
+			var refused *outcome.Error
+			switch {
+			case test.allowed != "" && (err != nil || !plan.Homes.Bound() || !plan.Homes.Allows(test.allowed)):
+				t.Errorf("homes: got %+v and %v, want %s allowed", plan.Homes, err, test.allowed)
+			case test.allowed == "" && (!errors.As(err, &refused) || refused.Code != outcome.NoHome || refused.Run != journal.NotRun || refused.Status() != http.StatusServiceUnavailable):
+				t.Errorf("error: got %v, want %s, not run, with status 503", err, outcome.NoHome)
+			}
+		})
+	}
+}
--- a/fleet/request/locate/locate.go
+++ b/fleet/request/locate/locate.go
@@ -129,9 +129,7 @@
 // fallbackRouters returns the routers of other regions to which a caller may be sent. It is
 // isolated if its own region has no router.
 func fallbackRouters(others []member.Member, fallback homes.Fallback, isolated bool) []member.Member {
-	if fallback.Bound && !isolated {
-		fallback.Anywhere = false
-	}
+	fallback.Exclusive = fallback.Exclusive || fallback.Bound && !isolated
 	return inFallback(others, fallback)
 }
 
--- a/fleet/request/locate/nearest.go
+++ b/fleet/request/locate/nearest.go
@@ -54,7 +54,7 @@
 // inFallback returns those of the routers of other regions to which a caller may be sent.
 func inFallback(routers []member.Member, fallback homes.Fallback) []member.Member {
 	preferred := keep(routers, func(router member.Member) bool { return fallback.Prefers(router.Region) })
-	if len(preferred) == 0 && fallback.Anywhere {
+	if len(preferred) == 0 && !fallback.Exclusive {
 		return routers
 	}
 	return preferred
--- a/fleet/request/locate/nearest_test.go
+++ b/fleet/request/locate/nearest_test.go
@@ -7,7 +7,6 @@
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/request/locate"
-	"jacinthpaddle.example/fleet/version/homes"
 )
 
 var hall = vm.Locality{Region: "western", AvailabilityZone: "hall"}
@@ -26,7 +25,7 @@
 }
 
 func TestNearest(t *testing.T) {
-	query := locate.NearestQuery{Locality: hall, Fallback: homes.Fallback{Anywhere: true}}
+	query := locate.NearestQuery{Locality: hall}
 	tests := []struct {
 		name    string
 		members []member.Member
--- a/fleet/version/homes/homes.go
+++ b/fleet/version/homes/homes.go
@@ -44,31 +44,38 @@
 }
 
 // Fallback has the regions to which a caller may be sent if its own region has no router.
-// The zero value allows none.
+// The zero value allows any region.
 type Fallback struct {
-	// Anywhere is true if some of the routes that the caller may use have no homes.
-	Anywhere bool
-	// Bound is true if some of the routes have homes.
+	// Bound is true if some of the routes that the caller may use have homes.
 	Bound bool
+	// Exclusive is true if all of them have homes, so that the caller is sent to no region
+	// besides Regions.
+	Exclusive bool
 	// Regions are the homes that all routes with homes have in common.
 	Regions []string
 }
 
+// NoFallback allows no region besides the caller's own.
+func NoFallback() Fallback {
+	return Fallback{Bound: true, Exclusive: true}
+}
+
 // FallbackOf returns the fallback for a caller that may use routes with these homes.
 func FallbackOf(routes []Homes) Fallback {
 	var fallback Fallback
+	unbound := false
 	for _, route := range routes {
-		if !route.Bound() {
-			fallback.Anywhere = true
-			continue
-		}
-		if fallback.Bound {
+		switch {
+		case !route.Bound():
+			unbound = true
+		case fallback.Bound:
 			fallback.Regions = slices.DeleteFunc(fallback.Regions, func(region string) bool { return !route.Allows(region) })
-			continue
+		default:
+			fallback.Bound = true
+			fallback.Regions = route.allowed()
 		}
-		fallback.Bound = true
-		fallback.Regions = route.allowed()
 	}
+	fallback.Exclusive = fallback.Bound && !unbound
 	return fallback
 }
 
--- a/fleet/version/snapshot/homes.go
+++ b/fleet/version/snapshot/homes.go
@@ -11,11 +11,7 @@
 // HostFallback returns the regions to which callers of a host may be sent if their own
 // region has no router. A host without paths has no homes.
 func (s *Snapshot) HostFallback(host string) homes.Fallback {
-	fallback, ok := s.fallbacks[host]
-	if !ok {
-		return homes.Fallback{Anywhere: true}
-	}
-	return fallback
+	return s.fallbacks[host]
 }
 
 // TeamFallback returns the regions to which callers of a team may be sent if their own
