claim, idempotency: Keep responses of home-bound requests out of the store

Cause: the response to a request with an idempotency key was stored in its claim, from which any router replays it, also outside the homes of the request. Change: a claim of a home-bound request keeps the response at its holder; repeats are forwarded there, as for responses that are too large to be stored.

--- a/fleet/process/claim/claim.go
+++ b/fleet/process/claim/claim.go
@@ -74,7 +74,7 @@
 	// ResponseStored means that the claim contains the response.
 	ResponseStored Relation = "ended"
 	// AtHolder means that only the process that holds the claim can have the response:
-	// the request is in progress, or its response was too large to be stored.
+	// the request is in progress, or its response was not stored.
 	AtHolder Relation = "elsewhere"
 )
 
@@ -109,8 +109,10 @@
 	Run journal.RunStatus `json:"run"`
 	// Status is the HTTP status of a finished request.
 	Status int `json:"status,omitempty"`
+	// ResponseAtHolder keeps the response out of the store, so that only the holder has it.
+	ResponseAtHolder bool `json:"answer_at_holder,omitempty"`
 	// Response is set for a finished request, unless it has more than
-	// MaxResponseBytes.
+	// MaxResponseBytes or stays at the holder.
 	Response *response.Response `json:"answer,omitempty"`
 }
 
@@ -146,12 +148,12 @@
 }
 
 // Finish returns the claim as finished, with the response unless it has more than
-// MaxResponseBytes.
+// MaxResponseBytes or stays at the holder.
 func (c Claim) Finish(final response.Response) Claim {
 	c.State = Finished
 	c.Run = final.Run()
 	c.Status = final.Status
-	if final.Bytes() <= MaxResponseBytes {
+	if final.Bytes() <= MaxResponseBytes && !c.ResponseAtHolder {
 		c.Response = &final
 	}
 	return c
--- a/fleet/process/claim/claim_test.go
+++ b/fleet/process/claim/claim_test.go
@@ -27,6 +27,9 @@
 	held := want("a-1")
 	held.State = claim.Held
 	finished := held.Finish(response.Response{Status: 200, Body: []byte("ok")})
+	bound := held
+	bound.ResponseAtHolder = true
+	bound = bound.Finish(response.Response{Status: 200, Body: []byte("ok")})
 	large := held.Finish(response.Response{Body: make([]byte, claim.MaxResponseBytes+1)})
 	tests := []struct {
 		name        string
@@ -46,6 +49,7 @@
 		{"finished", finished, "a-2", "same", false, claim.ResponseStored},
 		{"finished, listed as abandoned", finished, "a-2", "same", true, claim.ResponseStored},
 		{"finished with a large response", large, "a-2", "same", false, claim.AtHolder},
+		{"finished with a response that stays at the holder", bound, "a-2", "same", false, claim.AtHolder},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/fleet/request/idempotency/idempotency.go
+++ b/fleet/request/idempotency/idempotency.go
@@ -108,6 +108,9 @@
 	// Floor is the number of credits that the request costs at least once it
 	// was dispatched.
 	Floor int64
+	// ResponseAtHolder keeps the response out of the store, for a request whose response
+	// must stay in some regions.
+	ResponseAtHolder bool
 	// Forwarded reports whether the request was forwarded to this router by another
 	// one.
 	Forwarded bool
--- a/fleet/request/idempotency/run.go
+++ b/fleet/request/idempotency/run.go
@@ -68,12 +68,13 @@
 	ctx, cancel := context.WithTimeout(ctx, e.Limits.StoreTimeout)
 	defer cancel()
 	snapshot, err := e.Claims.Acquire(ctx, call.Key, claim.Claim{
-		Request:     call.Request,
-		Holder:      e.Self,
-		Budget:      call.Budget,
-		Fingerprint: call.Fingerprint,
-		Reserved:    call.Reserved,
-		Floor:       call.Floor,
+		Request:          call.Request,
+		Holder:           e.Self,
+		Budget:           call.Budget,
+		Fingerprint:      call.Fingerprint,
+		Reserved:         call.Reserved,
+		Floor:            call.Floor,
+		ResponseAtHolder: call.ResponseAtHolder,
 	})
 	if err != nil {
 		e.Claims.Abandon(call.Request)
--- a/router/request/frontend/idempotency.go
+++ b/router/request/frontend/idempotency.go
@@ -64,13 +64,14 @@
 	}
 	uri := request.URL.RequestURI()
 	return h.Executor.Do(request.Context(), idempotency.Call{
-		Key:         claim.Key{Team: job.Plan.Team.Name, Key: keys[0]},
-		Fingerprint: idempotency.Fingerprint(request.Method, uri, body),
-		Request:     job.Request,
-		Budget:      job.Plan.Team.Budget,
-		Reserved:    job.Plan.Reserve,
-		Floor:       job.Plan.Floor,
-		Forwarded:   forwarded,
+		Key:              claim.Key{Team: job.Plan.Team.Name, Key: keys[0]},
+		Fingerprint:      idempotency.Fingerprint(request.Method, uri, body),
+		Request:          job.Request,
+		Budget:           job.Plan.Team.Budget,
+		Reserved:         job.Plan.Reserve,
+		Floor:            job.Plan.Floor,
+		ResponseAtHolder: job.Plan.Homes.Bound(),
+		Forwarded:        forwarded,
 		Dispatch: func(ctx context.Context, record idempotency.Recorder) error {
 			return h.Runner.Run(ctx, job, recordingSink{record: record})
 		},
--- a/router/request/frontend/idempotency_test.go
+++ b/router/request/frontend/idempotency_test.go
@@ -103,6 +103,7 @@
 		Services: []declaration.Service{{Name: "desk", Pool: "desks", Price: 7, Timeout: time.Minute}},
 		Routes: []declaration.Route{
 			{Name: "desk", Kind: declaration.ServiceRoute, Target: "desk"},
+			{Name: "bound", Kind: declaration.ServiceRoute, Target: "desk", Regions: []string{region}},
 			{Name: "small", Kind: declaration.ModelRoute, Target: "small"},
 		},
 		Pools: []declaration.Pool{{Name: "desks", Kind: declaration.EndpointPool, Port: number, MaxInFlight: 8}},
@@ -126,7 +127,7 @@
 	active.Store(config)
 	clk := clock.New()
 	table := endpoint.NewTable(endpoint.Defaults(vm.Locality{}, self), clk)
-	table.Update([]vm.VM{{Name: "e", Address: "127.0.0.1", Pool: "desks", State: vm.Live}}, config.Set.Pools)
+	table.Update([]vm.VM{{Name: "e", Address: "127.0.0.1", Pool: "desks", Locality: vm.Locality{Region: region}, State: vm.Live}}, config.Set.Pools)
 	limits := idempotency.DefaultLimits()
 	handler := frontend.New(frontend.Deps{
 		Self:           self,
@@ -141,12 +142,15 @@
 			Self: self, Clock: clk, Log: log, Claims: claim.NewClient(clk, f.objects),
 			Tickets: idempotency.SecretVerifier{Secret: fleetSecret}, Limits: limits, Stopping: f.stopping.Load,
 		}),
-		Locator:   f,
-		Forwarder: forward.NewClient(forward.Settings{Secret: fleetSecret, Clock: clk, Address: f.address}),
-		Log:       log,
-		Metrics:   metrics,
-		Limits:    frontend.Limits{MaxBodyBytes: 1 << 20, MaxResponseBytes: 1 << 20, MaxConcurrent: 8},
-		Stopping:  f.stopping.Load,
+		Locator: f,
+		Forwarder: forward.NewClient(forward.Settings{
+			Secret: fleetSecret, Clock: clk, Address: f.address, OwnRegion: region,
+			Region: func(ident.Incarnation) string { return region },
+		}),
+		Log:      log,
+		Metrics:  metrics,
+		Limits:   frontend.Limits{MaxBodyBytes: 1 << 20, MaxResponseBytes: 1 << 20, MaxConcurrent: 8},
+		Stopping: f.stopping.Load,
 	})
 	f.handlers[index] = handler
 	f.routers[index] = httptest.NewServer(handler)
@@ -184,6 +188,8 @@
 }
 
 const (
+	// region is that of the routers and the endpoint.
+	region = "western"
 	order  = "/services/desk/redeem"
 	stream = `{"model":"small","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`
 )
