--- a/fleet/request/locate/locate.go
+++ b/fleet/request/locate/locate.go
@@ -88,9 +88,12 @@
 // up to FallbackAddresses of the other regions to which the team may be sent. If some of its
 // routes have homes, these are the homes that they have in common; other regions are used
 // only if there is no router in these, nor in the caller's region, and only for a team that
-// also has routes without homes. Draining and failed (gone) routers are left out, and so are
-// those with which contact was lost for longer than the bound. Suspected routers of the caller's region are listed only if none there is
-// live, and those of other regions only if none in any of these is live. They come last.
+// also has routes without homes.
+//
+// Draining and failed (gone) routers are left out, and so are those with which contact was
+// lost for longer than the bound. Suspected routers of the caller's region are listed only
+// if none there is live, and those of other regions only if none in any of these is live.
+// They come last.
 func SelectRouters(members []member.Member, query Query) Response {
 	regional, others := split(members, query)
 	chosen := selectUsable(regional, max(query.SubsetSize, MinSubsetSize))
--- a/fleet/request/serve/homes_test.go
+++ b/fleet/request/serve/homes_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -106,6 +107,27 @@
 	}
 }
 
+// The home region has lost its endpoints while other teams occupy all slots of the pool.
+func TestHomeUnavailableIsRefusedWithoutWaitingForASlot(t *testing.T) {
+	h := newHarness(t, func(http.ResponseWriter, *http.Request) {})
+	h.plan.Pool.MaxInFlight = 1
+	h.runner.Endpoints.Update([]vm.VM{newCountingEndpoint(t, "elsewhere", "western", http.StatusOK).VM}, []declaration.Pool{h.plan.Pool})
+	release, err := h.runner.Slots.Acquire(t.Context(), h.plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	h.plan.Homes = homes.Homes{Route: []string{"central"}}
+	h.plan.Timeout = time.Millisecond
+	var failure *outcome.Error
+	if err := h.run(serve.Verbatim{MaxBytes: 1 << 10}); !errors.As(err, &failure) || failure.Code != outcome.HomeUnavailable {
+		t.Errorf("error: got %v, want %s", err, outcome.HomeUnavailable)
+	}
+	if got := len(h.recorder.entries); got != 0 {
+		t.Errorf("journal entries: got %d, want 0", got)
+	}
+}
+
 func TestRefusalWithoutAnyEndpointDoesNotBlameHomes(t *testing.T) {
 	h := newHarness(t, func(http.ResponseWriter, *http.Request) {})
 	h.runner.Endpoints.Update(nil, []declaration.Pool{h.plan.Pool})
--- a/fleet/request/serve/pick.go
+++ b/fleet/request/serve/pick.go
@@ -1,8 +1,6 @@
 package serve
 
 import (
-	"slices"
-
 	"github.com/juju/errors"
 
 	"jacinthpaddle.example/fleet/connection/endpoint"
@@ -13,12 +11,12 @@
 )
 
 // pick chooses an endpoint in the home regions that was not attempted yet and counts the
-// request as in flight at it. Its error is an *outcome.Error. Each success must be followed by one call of release.
+// request as in flight at it. Its error is an *outcome.Error. Each success must be followed
+// by one call of release.
 func (r *Runner) pick(job Job, attempted []*endpoint.State) (*endpoint.State, error) {
-	members := r.Endpoints.View().InPool(job.Plan.Pool.Name)
-	endpoints := members
+	endpoints := r.Endpoints.View().InPool(job.Plan.Pool.Name)
 	if job.Plan.Homes.Bound() {
-		endpoints = inHomes(members, job.Plan.Homes)
+		endpoints = inHomes(endpoints, job.Plan.Homes)
 	}
 	state, ok := r.Picker.Pick(endpoints, balancer.Request{
 		Now:          r.Clock.Now(),
@@ -31,15 +29,8 @@
 	if ok {
 		return state, nil
 	}
-	if hasUsable(members) && !hasUsable(endpoints) {
-		return nil, &outcome.Error{
-			Code:   outcome.HomeUnavailable,
-			Run:    journal.NotRun,
-			Object: "pool",
-			Name:   job.Plan.Pool.Name,
-			Field:  "regions",
-			Reason: "no endpoint of the pool in the home regions can take the request",
-		}
+	if err := r.checkHomes(job); err != nil {
+		return nil, err
 	}
 	return nil, &outcome.Error{
 		Code:   outcome.NoEndpoint,
@@ -50,6 +41,35 @@
 	}
 }
 
+// checkHomes returns an error if endpoints of the pool can be used, but none of them in the
+// home regions of the request.
+func (r *Runner) checkHomes(job Job) error {
+	if !job.Plan.Homes.Bound() {
+		return nil
+	}
+	elsewhere := false
+	for _, state := range r.Endpoints.View().InPool(job.Plan.Pool.Name) {
+		if !state.Usable() {
+			continue
+		}
+		if job.Plan.Homes.Allows(state.VM.Region) {
+			return nil
+		}
+		elsewhere = true
+	}
+	if !elsewhere {
+		return nil
+	}
+	return &outcome.Error{
+		Code:   outcome.HomeUnavailable,
+		Run:    journal.NotRun,
+		Object: "pool",
+		Name:   job.Plan.Pool.Name,
+		Field:  "regions",
+		Reason: "no endpoint of the pool in the home regions can take the request",
+	}
+}
+
 // inHomes returns the endpoints that are in the home regions.
 func inHomes(endpoints []*endpoint.State, bound homes.Homes) []*endpoint.State {
 	allowed := make([]*endpoint.State, 0, len(endpoints))
@@ -61,10 +81,6 @@
 	return allowed
 }
 
-func hasUsable(endpoints []*endpoint.State) bool {
-	return slices.ContainsFunc(endpoints, (*endpoint.State).Usable)
-}
-
 // release ends the use of an endpoint that pick returned and reports the result of the
 // attempt to the balancer.
 func (r *Runner) release(job Job, state *endpoint.State, result balancer.Result) {
--- a/fleet/request/serve/serve.go
+++ b/fleet/request/serve/serve.go
@@ -180,6 +180,9 @@
 	if err := r.checkPrompt(job); err != nil {
 		return err
 	}
+	if err := r.checkHomes(job); err != nil {
+		return err
+	}
 	sink = &startObserver{Sink: sink, onData: r.firstByteRecorder()}
 	if !job.Plan.Idempotent && !job.Plan.CancelOnDisconnect {
 		// Work that must not be repeated continues after its caller disconnected.
