--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -179,8 +179,8 @@
 type LocateSettings struct {
 	// TTL is how long a caller may use a response.
 	TTL time.Duration `ini:"ttl"`
-	// ContactBound is the time since contact with a router was lost after which no response
-	// names it. Zero is no bound.
+	// ContactBound is the time since the last contact with a suspected router after which
+	// no response names it. Zero is no bound.
 	ContactBound time.Duration `ini:"contact_bound"`
 }
 
