evacuation: Read, relay and enforce evacuations of availability zones

Cause: an operator could not have the endpoints of a zone left alone; nothing read the request. Change: the evacuated zones are one object with a version. The processes that watch the store watch it, others get it from peers; the endpoint table leaves the zones out.

--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -103,9 +103,12 @@
 	// TrialInFlight is true while a trial request is open.
 	TrialInFlight atomic.Bool
 	// SlowStartSince is when the endpoint started to get a gradually growing share of the
-	// requests: when it was added after the first update, or when an ejection ended. It is
-	// zero if neither happened.
+	// requests: when it was added after the first update, or when an ejection or the
+	// evacuation of its zone ended. It is zero if none of these happened.
 	SlowStartSince AtomicTime
+	// evacuated reports whether the zone was evacuated at the last Table.Update, which
+	// alone uses it.
+	evacuated bool
 }
 
 // Dump is a snapshot of a State for operators.
--- a/fleet/connection/endpoint/table.go
+++ b/fleet/connection/endpoint/table.go
@@ -82,8 +82,8 @@
 	polled []*State
 }
 
-// InPool returns the endpoints of the pool that are listed as live, nearest first. The
-// caller must not change the slice.
+// InPool returns the endpoints of the pool that are listed as live and not evacuated,
+// nearest first. The caller must not change the slice.
 func (v *View) InPool(pool string) []*State {
 	return v.pools[pool]
 }
@@ -94,14 +94,16 @@
 	return v.polled
 }
 
-// Table holds the endpoints of each pool. Only the control thread may call Update; View
-// is safe for concurrent use.
+// Table holds the endpoints of each pool. Only the control thread may call Update and
+// SetEvacuated; View is safe for concurrent use.
 type Table struct {
 	config  Config
 	clock   clock.Clock
 	current atomic.Pointer[View]
 
 	entries map[key]*entry
+	// evacuated has the availability zones whose endpoints get no new requests.
+	evacuated []string
 }
 
 // entry is a listed endpoint, or one that was removed from the list of VMs less than
@@ -139,7 +141,8 @@
 		for _, machine := range vm.InPool(list, pool.Name) {
 			state := t.stateOf(machine, pool.Port, now, initial)
 			listed[key{machine.Name, state.Address, machine.Incarnation}] = true
-			if t.applyListedState(state, machine.State, now) {
+			inUse := t.applyEvacuation(state, now)
+			if t.applyListedState(state, machine.State, now) && inUse {
 				endpoints = append(endpoints, state)
 			}
 		}
--- a/fleet/connection/peer/message.go
+++ b/fleet/connection/peer/message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"jacinthpaddle.example/fleet/process/evacuation"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/process/member"
@@ -39,6 +40,8 @@
 	VMList     *VMList     `cbor:"list,omitempty"`
 	Prompts    *Prompts    `cbor:"prompts,omitempty"`
 
+	Evacuations *evacuation.Reading `cbor:"evacuations,omitempty"`
+
 	Transfer        *quota.Transfer        `cbor:"transfer,omitempty"`
 	TransferAck     *quota.TransferAck     `cbor:"receipt,omitempty"`
 	TransferRequest *quota.TransferRequest `cbor:"pull,omitempty"`
@@ -76,6 +79,9 @@
 	// version is still the same.
 	Reader  ident.Incarnation `cbor:"reader,omitempty"`
 	Reading int64             `cbor:"reading,omitempty"`
+	// Evacuations is the sender's reading of the evacuated zones, or nil if it has none. It
+	// repeats what was sent when the zones changed.
+	Evacuations *evacuation.Reading `cbor:"evacuations,omitempty"`
 }
 
 // Prompts carries failed requests, and whole responses to requests with parts that were
--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -22,7 +22,7 @@
 	Level   logrus.Level
 }
 
-// Catalogue of events: 1xxx process, 2xxx generations, 3xxx platform, 4xxx quota, 5xxx
+// Catalogue of events: 1xxx process, 20xx generations, 21xx evacuations, 3xxx platform, 4xxx quota, 5xxx
 // journal, 6xxx peers, 7xxx endpoints, 8xxx requests.
 var (
 	Started             = Kind{1001, "process started", logrus.InfoLevel}
@@ -38,6 +38,10 @@
 	LibraryMessage      = Kind{1011, "message of a library", logrus.WarnLevel}
 	GenerationActivated = Kind{2001, "generation taken", logrus.InfoLevel}
 	GenerationFailed    = Kind{2002, "generation not readable", logrus.WarnLevel}
+	ZoneEvacuated       = Kind{2101, "zone evacuated", logrus.WarnLevel}
+	EvacuationWithdrawn = Kind{2102, "evacuation withdrawn", logrus.InfoLevel}
+	EvacuationInvalid   = Kind{2103, "evacuation of an unknown zone", logrus.WarnLevel}
+	EvacuationsFailed   = Kind{2104, "evacuations not readable", logrus.WarnLevel}
 	PlatformUnavailable = Kind{3001, "platform unavailable", logrus.WarnLevel}
 	PlatformAvailable   = Kind{3002, "platform available again", logrus.InfoLevel}
 	PlatformSilent      = Kind{3003, "connection to the platform gave no reply", logrus.InfoLevel}
@@ -73,6 +77,7 @@
 		Started, Draining, Stopped, BadSettings, ListenFailed, ControlPanicked, DumpWritten, DrainIncomplete,
 		Reloaded, ReloadRefused, LibraryMessage,
 		GenerationActivated, GenerationFailed,
+		ZoneEvacuated, EvacuationWithdrawn, EvacuationInvalid, EvacuationsFailed,
 		PlatformUnavailable, PlatformAvailable, PlatformSilent,
 		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed,
 		JournalFailed, JournalRecovered, JournalFull,
--- a/fleet/process/meter/meter.go
+++ b/fleet/process/meter/meter.go
@@ -89,6 +89,18 @@
 	return errors.Annotate(err, "metrics")
 }
 
+// ObserveEvacuations adds a gauge of the evacuated availability zones. The function zones
+// returns their number. It is called at each scrape.
+func (m *Metrics) ObserveEvacuations(zones func() int64) error {
+	_, err := m.meter.Int64ObservableGauge("evacuated_zones",
+		metric.WithDescription("availability zones whose endpoints get no new requests"), metric.WithUnit("{zone}"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(zones())
+			return nil
+		}))
+	return errors.Annotate(err, "metrics")
+}
+
 // ObserveLog adds a counter of the log lines that were dropped. The function dropped
 // returns the total. It is called at each scrape.
 func (m *Metrics) ObserveLog(dropped func() int64) error {
--- a/fleet/process/operatorapi/operatorapi.go
+++ b/fleet/process/operatorapi/operatorapi.go
@@ -39,10 +39,12 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 	State       State             `json:"state"`
 	Generation  int64             `json:"generation"`
-	InFlight    int64             `json:"in_flight"`
-	Budgets     []BudgetLevel     `json:"budgets"`
-	Peers       []PeerLink        `json:"peers"`
-	Started     time.Time         `json:"started"`
+	// Evacuated are the availability zones whose endpoints get no new requests.
+	Evacuated []string      `json:"evacuated,omitempty"`
+	InFlight  int64         `json:"in_flight"`
+	Budgets   []BudgetLevel `json:"budgets"`
+	Peers     []PeerLink    `json:"peers"`
+	Started   time.Time     `json:"started"`
 }
 
 // BudgetLevel is the state of one budget at the router, in credits.
--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -106,6 +106,7 @@
 	check.positive(s.Platform.WatchWait, "platform", "watch_wait")
 	check.bound(s.Platform.GenerationBound, "platform", "generation_bound")
 	check.bound(s.Platform.ListBound, "platform", "list_bound")
+	check.bound(s.Platform.EvacuationBound, "platform", "evacuation_bound")
 	check.positive(s.Platform.ListInterval, "platform", "list_interval")
 	check.positive(s.Platform.WatchMargin, "platform", "watch_margin")
 	check.positive(s.Platform.WatchRetry, "platform", "watch_retry")
--- a/router/process/node/generation.go
+++ b/router/process/node/generation.go
@@ -23,16 +23,26 @@
 		return
 	}
 	state.Generation = m.Generation
-	state.ActiveSnapshot.Store(snapshot.New(m.Generation.Number, m.Generation.Set))
-	for budget := range state.Quota.Allocations {
-		state.Quota.SetPurchased(budget, state.purchased(budget))
-	}
+	state.activateGeneration()
 	state.updateEndpoints()
 	state.announceGenerationToAll()
 	state.Log.Emit(event.GenerationActivated, event.Int("generation", m.Generation.Number),
 		event.String("digest", m.Generation.Digest))
 }
 
+// activateGeneration makes the generation available to requests, unless there is no reading
+// of the evacuated zones yet: until then the process refuses requests as it does without a
+// configuration.
+func (s *State) activateGeneration() {
+	if s.Generation.Number == 0 || !s.evacuationsKnown() {
+		return
+	}
+	s.ActiveSnapshot.Store(snapshot.New(s.Generation.Number, s.Generation.Set))
+	for budget := range s.Quota.Allocations {
+		s.Quota.SetPurchased(budget, s.purchased(budget))
+	}
+}
+
 // announceGeneration sends the number of the active generation to a peer.
 func (s *State) announceGeneration(to ident.Incarnation) {
 	if s.Generation.Number == 0 {
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -166,6 +166,9 @@
 	if err := metrics.ObservePeers(node.peerBytes); err != nil {
 		return nil, err
 	}
+	if err := metrics.ObserveEvacuations(node.evacuatedZones); err != nil {
+		return nil, err
+	}
 	if deps.LinesDropped != nil {
 		if err := metrics.ObserveLog(deps.LinesDropped); err != nil {
 			return nil, err
@@ -293,21 +296,15 @@
 		ReturnGrace: n.Settings.Platform.ReturnGrace,
 		ListBound:   n.Settings.Platform.ListBound,
 	}
-	watcher := &generationWatcher{
-		clock:   n.Clock,
-		objects: n.platform,
-		thread:  n.thread,
-		log:     n.Log,
-		wait:    n.Settings.Platform.GenerationWait(),
-		retry:   n.Settings.Platform.WatchRetry,
-		policy:  policy,
-	}
 	poller := endpoint.NewPoller(n.state.EndpointConfig, n.Clock, n.state.Endpoints)
 	if n.Settings.Quota.Pages == 0 {
 		proposed := account.LayoutFor(n.Settings.Platform.WritesPerSecond)
 		go n.worker.readLayout(proposed, n.Settings.Platform.WatchRetry, n.Log)
 	}
-	go watcher.run(n.ctx)
+	go n.newGenerationWatcher(policy).run(n.ctx)
+	if n.Settings.Platform.EvacuationBound > 0 {
+		go n.newEvacuationWatcher(policy).run(n.ctx)
+	}
 	go poller.Run(n.ctx)
 	go every(n.ctx, n.Clock, TickInterval, func() { n.thread.Send(Tick{}) })
 	go vmLister.Run(n.ctx)
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -55,6 +55,7 @@
 	state.Log.Emit(event.PeerUp, event.String("peer", m.Remote), event.String("vm", m.Hello.Member.VM))
 	state.membersChanged()
 	state.announceGeneration(m.Remote)
+	state.sendEvacuations(m.Remote)
 	state.sendKnownPrompts(m.Remote)
 }
 
@@ -100,6 +101,8 @@
 		}
 	case m.Message.Generation != nil:
 		state.handleGeneration(from, *m.Message.Generation)
+	case m.Message.Evacuations != nil:
+		state.handleEvacuations(from, *m.Message.Evacuations)
 	case m.Message.VMList != nil:
 		state.handleVMList(from, *m.Message.VMList)
 	case m.Message.Prompts != nil:
--- a/router/process/node/platform.go
+++ b/router/process/node/platform.go
@@ -8,12 +8,10 @@
 
 	"jacinthpaddle.example/fleet/connection/peer"
 	"jacinthpaddle.example/fleet/process/clock"
-	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/process/page"
 	"jacinthpaddle.example/fleet/process/store"
-	"jacinthpaddle.example/fleet/version/generation"
 )
 
 // ioWorker implements AsyncIO. Each operation on the store runs on a goroutine of its
@@ -91,79 +89,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// generationWatcher watches the generation pointer, the object in the store that names the
-// active generation. In a large fleet only a few processes of each availability zone watch
-// it. The others are notified by peers and read the pointer at each PointerInterval; they
-// watch it themselves while no peer sends later versions of the list of VMs.
-type generationWatcher struct {
-	clock   clock.Clock
-	objects store.Store
-	thread  *Thread
-	log     *event.Log
-	// wait is the time that a watch may wait for a change.
-	wait time.Duration
-	// retry is the pause after a failure, and the interval at which waitForNextRead checks
-	// the policy.
-	retry  time.Duration
-	policy ReadPolicy
-	// digest is the digest of the last generation that was read.
-	digest string
-}
-
-// run reads the pointer, then waits for it to change. After a failure it waits for the
-// retry interval and reads the pointer again, since the watch may have missed a change.
-func (w *generationWatcher) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		version, err := w.read(ctx)
-		for err == nil && ctx.Err() == nil && w.policy.MustRead() {
-			version, err = w.waitForChange(ctx, version)
-		}
-		if err != nil && ctx.Err() == nil {
-			w.log.Emit(event.GenerationFailed, event.Cause(err))
-			sleep(ctx, w.clock, w.retry)
-			continue
-		}
-		w.waitForNextRead(ctx)
-	}
-}
-
-// waitForNextRead waits for PointerInterval, or until the process must read the pointer
-// itself.
-func (w *generationWatcher) waitForNextRead(ctx context.Context) {
-	end := w.clock.Now().Add(PointerInterval)
-	for ctx.Err() == nil && !w.policy.MustRead() && w.clock.Now().Before(end) {
-		sleep(ctx, w.clock, w.retry)
-	}
-}
-
-func (w *generationWatcher) waitForChange(ctx context.Context, after store.Version) (store.Version, error) {
-	changes, err := w.objects.Watch(ctx, generation.PointerName, after, w.wait)
-	if err != nil {
-		return 0, err
-	}
-	if len(changes.Changed) == 0 {
-		return changes.Version, nil
-	}
-	if _, err := w.read(ctx); err != nil {
-		return 0, err
-	}
-	return changes.Version, nil
-}
-
-func (w *generationWatcher) read(ctx context.Context) (store.Version, error) {
-	pointer, err := generation.FetchPointer(ctx, w.objects)
-	if err != nil {
-		return 0, err
-	}
-	if pointer.Number == 0 || pointer.Digest == w.digest {
-		return pointer.Version, nil
-	}
-	fetched, err := generation.FetchAt(ctx, w.objects, pointer)
-	if err != nil {
-		return 0, err
-	}
-	w.digest = pointer.Digest
-	w.thread.Send(GenerationReceived{Generation: fetched})
-	return pointer.Version, nil
-}
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -69,6 +69,10 @@
 	// ListBound is the same for a change of the list of VMs. A VM that is removed from the
 	// list still serves for this time.
 	ListBound time.Duration `ini:"list_bound"`
+	// EvacuationBound is the time within which the evacuation of an availability zone must
+	// be in force. Zero turns evacuations off: nothing reads them, and those of peers are
+	// ignored.
+	EvacuationBound time.Duration `ini:"evacuation_bound"`
 	// WatchMargin is the time that a watch may take beyond its wait.
 	WatchMargin time.Duration `ini:"watch_margin"`
 	// WatchRetry is the pause after a failed watch.
@@ -277,6 +281,11 @@
 	return p.watchWait(p.ListBound)
 }
 
+// EvacuationWait returns how long a watch of the evacuated zones may wait for a change.
+func (p PlatformSettings) EvacuationWait() time.Duration {
+	return p.watchWait(p.EvacuationBound)
+}
+
 // watchWait returns the wait with which two watches fit into the bound, so that one of
 // them can fail silently. Shorter waits would only cost more calls.
 func (p PlatformSettings) watchWait(bound time.Duration) time.Duration {
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -10,6 +10,7 @@
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/control"
 	"jacinthpaddle.example/fleet/process/current"
+	"jacinthpaddle.example/fleet/process/evacuation"
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/journal"
@@ -115,6 +116,9 @@
 	// ActiveSnapshot has the configuration of the active generation. It is shared with the
 	// goroutines of requests.
 	ActiveSnapshot *current.Value[*snapshot.Snapshot]
+	// Evacuations has the newest reading of the evacuated zones. It is shared with other
+	// goroutines, and empty until there is a reading.
+	Evacuations *current.Value[evacuation.Reading]
 
 	Settings   Settings
 	Generation generation.Generation
@@ -172,7 +176,9 @@
 	// keeps those that are no longer in the view.
 	accountsRead    map[ident.Incarnation]bool
 	loggedEndpoints map[string]endpointFlags
-	announced       announcedGeneration
+	// evacuated has the zones whose endpoints get no new requests.
+	evacuated []string
+	announced announcedGeneration
 	// membersOutdated is set by gossip until membersChanged runs. A process that starts
 	// receives many messages, and deriving all that depends on the members costs about a
 	// millisecond in a large fleet.
@@ -234,6 +240,7 @@
 		JournalBuffer:  journal.NewBuffer(journalConfig, self.Incarnation),
 		Replicas:       journal.NewReplicas(),
 		ActiveSnapshot: current.New(newerSnapshot),
+		Evacuations:    current.New(evacuation.Newer),
 		Started:        now,
 		Membership:     membership.New(self, io, now),
 		Linked:         make(map[ident.Incarnation]bool),
--- a/router/process/node/status.go
+++ b/router/process/node/status.go
@@ -10,6 +10,7 @@
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/member"
 	"jacinthpaddle.example/fleet/process/operatorapi"
+	"jacinthpaddle.example/fleet/process/store"
 	"jacinthpaddle.example/fleet/request/idempotency"
 )
 
@@ -20,6 +21,7 @@
 	InFlight    int64                     `json:"in_flight"`
 	Generation  int64                     `json:"generation"`
 	Digest      string                    `json:"digest"`
+	Evacuations *EvacuationsDump          `json:"evacuations,omitempty"`
 	Members     []member.Member           `json:"members"`
 	Linked      []ident.Incarnation       `json:"linked"`
 	Budgets     []BudgetDump              `json:"budgets"`
@@ -46,6 +48,14 @@
 	RecordClosed bool `json:"shut"`
 }
 
+// EvacuationsDump is the newest reading of the evacuated zones.
+type EvacuationsDump struct {
+	Version store.Version `json:"version"`
+	// Stored are the zones in the reading, and InForce those of them that exist.
+	Stored  []string `json:"stored"`
+	InForce []string `json:"in_force"`
+}
+
 // JournalDump counts the journal records that this process holds.
 type JournalDump struct {
 	// Pending is the number of records of this process that are not stored yet.
@@ -63,6 +73,7 @@
 		Incarnation: s.Self,
 		State:       operatorapi.State(self.State),
 		Generation:  s.Generation.Number,
+		Evacuated:   s.evacuated,
 		Started:     s.Started,
 	}
 	for _, budget := range s.budgets() {
@@ -115,6 +126,9 @@
 		Recoveries: len(s.recoveries),
 		Endpoints:  make(map[string][]EndpointDump),
 	}
+	if held := s.heldEvacuations(); held != nil {
+		dump.Evacuations = &EvacuationsDump{Version: held.Version, Stored: held.Zones, InForce: s.evacuated}
+	}
 	for linked := range s.Linked {
 		dump.Linked = append(dump.Linked, linked)
 	}
--- a/router/process/node/vm_list.go
+++ b/router/process/node/vm_list.go
@@ -106,6 +106,7 @@
 	if list.Version == 0 || runningVMs(s.view().Members()) <= SmallFleetSize {
 		return
 	}
+	list.Evacuations = s.heldEvacuations()
 	for to := range s.Linked {
 		neighbour, known := s.view().Member(to)
 		if known && neighbour.Locality == s.view().Self().Locality {
@@ -120,8 +121,11 @@
 // well: while nobody writes to the platform's store, the version does not grow, and every
 // process would read the list itself.
 func (s *State) handleVMList(from ident.Incarnation, message peer.VMList) {
+	if message.Evacuations != nil {
+		s.handleEvacuations(from, *message.Evacuations)
+	}
 	if message.Wanted {
-		whole := peer.VMList{Delta: vm.Diff(vm.List{}, s.vmList)}
+		whole := peer.VMList{Delta: vm.Diff(vm.List{}, s.vmList), Evacuations: s.heldEvacuations()}
 		s.send(from, peer.Message{VMList: &whole})
 		return
 	}
