--- a/fleet/request/serve/pick.go
+++ b/fleet/request/serve/pick.go
@@ -7,6 +7,7 @@
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/request/balancer"
 	"jacinthpaddle.example/fleet/request/outcome"
+	"jacinthpaddle.example/fleet/version/declaration"
 )
 
 // pick chooses an endpoint that was not attempted yet and counts the request as in flight
@@ -24,11 +25,15 @@
 	if ok {
 		return state, nil
 	}
-	return nil, &outcome.Error{
+	return nil, noEndpointError(job.Plan.Pool)
+}
+
+func noEndpointError(pool declaration.Pool) *outcome.Error {
+	return &outcome.Error{
 		Code:   outcome.NoEndpoint,
 		Run:    journal.NotRun,
 		Object: "pool",
-		Name:   job.Plan.Pool.Name,
+		Name:   pool.Name,
 		Reason: "no endpoint of the pool can take the request",
 	}
 }
--- a/fleet/request/serve/slots.go
+++ b/fleet/request/serve/slots.go
@@ -51,9 +51,13 @@
 	return &Slots{clock: clk, endpoints: endpoints, maxWait: maxWait}
 }
 
-// Acquire waits for a slot and returns the function that releases it. An error is
-// always an *outcome.Error with run not_run.
+// Acquire waits for a slot and returns the function that releases it. It refuses a request
+// for a pool without endpoints at once. An error is always an *outcome.Error with run
+// not_run.
 func (s *Slots) Acquire(ctx context.Context, plan admission.Plan) (release func(), err error) {
+	if len(s.endpoints.View().InPool(plan.Pool.Name)) == 0 {
+		return nil, noEndpointError(plan.Pool)
+	}
 	team, err := s.countTeamRequest(plan.Team)
 	if err != nil {
 		return nil, err
--- a/jacinth/request/command/arguments.go
+++ b/jacinth/request/command/arguments.go
@@ -9,17 +9,19 @@
 	EntryPool     string `arg:"--entry-pool,env:JACINTH_ENTRY_POOL" default:"entry" placeholder:"POOL" help:"pool whose VMs run routers"`
 	JSON          bool   `arg:"--json,env:JACINTH_JSON" help:"print JSON"`
 
-	Check   *Check   `arg:"subcommand:check" help:"check a folder of declarations"`
-	Apply   *Apply   `arg:"subcommand:apply" help:"publish a folder of declarations"`
-	TopUp   *TopUp   `arg:"subcommand:topup" help:"raise the purchased total of a budget and publish"`
-	Status  *Status  `arg:"subcommand:status" help:"sum up budgets and routers"`
-	Dump    *Dump    `arg:"subcommand:dump" help:"print the state of a router"`
-	Drain   *Drain   `arg:"subcommand:drain" help:"tell a router to stop once its requests have ended"`
-	Audit   *Audit   `arg:"subcommand:audit" help:"compare bills with accounts and purchases"`
-	Bills   *Bills   `arg:"subcommand:bills" help:"list the bill of each request"`
-	Trace   *Trace   `arg:"subcommand:trace" help:"follow one request through the logs of routers"`
-	Key     *Key     `arg:"subcommand:key" help:"print a fresh key and its digest"`
-	Version *Version `arg:"subcommand:version" help:"print the version"`
+	Check       *Check       `arg:"subcommand:check" help:"check a folder of declarations"`
+	Apply       *Apply       `arg:"subcommand:apply" help:"publish a folder of declarations"`
+	TopUp       *TopUp       `arg:"subcommand:topup" help:"raise the purchased total of a budget and publish"`
+	Status      *Status      `arg:"subcommand:status" help:"sum up budgets and routers"`
+	Dump        *Dump        `arg:"subcommand:dump" help:"print the state of a router"`
+	Drain       *Drain       `arg:"subcommand:drain" help:"tell a router to stop once its requests have ended"`
+	Evacuate    *Evacuate    `arg:"subcommand:evacuate" help:"send no new requests to the endpoints of an availability zone, or withdraw that"`
+	Evacuations *Evacuations `arg:"subcommand:evacuations" help:"list the evacuated availability zones"`
+	Audit       *Audit       `arg:"subcommand:audit" help:"compare bills with accounts and purchases"`
+	Bills       *Bills       `arg:"subcommand:bills" help:"list the bill of each request"`
+	Trace       *Trace       `arg:"subcommand:trace" help:"follow one request through the logs of routers"`
+	Key         *Key         `arg:"subcommand:key" help:"print a fresh key and its digest"`
+	Version     *Version     `arg:"subcommand:version" help:"print the version"`
 }
 
 // Check validates a folder of declarations without calling the platform.
@@ -56,6 +58,16 @@
 	VM string `arg:"--vm,required" placeholder:"NAME" help:"VM of the router"`
 }
 
+// Evacuate keeps new requests from the endpoints of an availability zone. The response of
+// the platform's store acknowledges it.
+type Evacuate struct {
+	Zone     string `arg:"--zone,required" placeholder:"NAME" help:"availability zone"`
+	Withdraw bool   `arg:"--withdraw" help:"end the evacuation of the zone"`
+}
+
+// Evacuations lists the evacuated availability zones.
+type Evacuations struct{}
+
 // Audit compares the bills with the accounts and the purchases.
 type Audit struct{}
 
--- a/jacinth/request/command/fleet.go
+++ b/jacinth/request/command/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"jacinthpaddle.example/fleet/process/evacuation"
 	"jacinthpaddle.example/fleet/version/snapshot"
 	"jacinthpaddle.example/jacinth/request/audit"
 	"jacinthpaddle.example/jacinth/request/ledger"
@@ -44,6 +45,10 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	evacuated, err := evacuation.Fetch(ctx, platform)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	machines, err := session.routerVMs(ctx, platform)
 	if err != nil {
 		return errors.Trace(err)
@@ -51,6 +56,7 @@
 	session.print.overview(overview.Overview{
 		Generation: stored.Generation.Number,
 		Digest:     stored.Generation.Digest,
+		Evacuated:  evacuated.Zones,
 		Budgets:    stored.BudgetTotals(),
 		Routers:    overview.QueryRouters(ctx, session.routers(), machines),
 	})
--- a/jacinth/request/command/printer.go
+++ b/jacinth/request/command/printer.go
@@ -172,7 +172,7 @@
 	if p.asJSON(summary) {
 		return
 	}
-	fmt.Fprintf(p.out, "generation %d\n\n", summary.Generation)
+	fmt.Fprintf(p.out, "generation %d\nevacuated %s\n\n", summary.Generation, cellText(strings.Join(summary.Evacuated, ", ")))
 	p.budgets(summary.Budgets)
 	fmt.Fprintln(p.out)
 	p.routers(summary.Routers)
@@ -207,9 +207,10 @@
 			router.Generation,
 			router.InFlight,
 			router.PeersUp,
+			strings.Join(router.Evacuated, ","),
 		})
 	}
-	p.table(row{"VM", "ADDRESS", "AVAILABILITY ZONE", "INCARNATION", "STATE", "GENERATION", "IN FLIGHT", "PEERS"}, rows)
+	p.table(row{"VM", "ADDRESS", "AVAILABILITY ZONE", "INCARNATION", "STATE", "GENERATION", "IN FLIGHT", "PEERS", "EVACUATED"}, rows)
 }
 
 func zone(locality vm.Locality) string {
@@ -276,6 +277,13 @@
 	fmt.Fprintf(p.out, "%s is draining\n", drained.VM)
 }
 
+func (p printer) evacuations(list EvacuationList) {
+	if p.asJSON(list) {
+		return
+	}
+	fmt.Fprintf(p.out, "evacuated at version %d: %s\n", list.Version, cellText(strings.Join(list.Zones, ", ")))
+}
+
 func (p printer) generatedKey(key GeneratedKey) {
 	if p.asJSON(key) {
 		return
--- a/jacinth/request/overview/overview.go
+++ b/jacinth/request/overview/overview.go
@@ -26,10 +26,12 @@
 
 // Overview is a summary of the fleet.
 type Overview struct {
-	Generation int64                 `json:"generation"`
-	Digest     string                `json:"digest"`
-	Budgets    []ledger.BudgetTotals `json:"budgets"`
-	Routers    []Router              `json:"vms"`
+	Generation int64  `json:"generation"`
+	Digest     string `json:"digest"`
+	// Evacuated are the availability zones that the store holds as evacuated.
+	Evacuated []string              `json:"evacuated"`
+	Budgets   []ledger.BudgetTotals `json:"budgets"`
+	Routers   []Router              `json:"vms"`
 }
 
 // Router is one VM of the entry pool and its router.
@@ -48,6 +50,9 @@
 	InFlight int64 `json:"in_flight"`
 	// PeersUp is the number of peers to which the router has a connection.
 	PeersUp int `json:"peers_up"`
+	// Evacuated are the availability zones to whose endpoints the router sends no new
+	// requests.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Reason is the error that made the router Unreachable. It is empty in other states.
 	Reason string `json:"reason,omitempty"`
 }
@@ -83,6 +88,7 @@
 	summary.Incarnation = status.Incarnation
 	summary.Generation = status.Generation
 	summary.InFlight = status.InFlight
+	summary.Evacuated = status.Evacuated
 	for _, peer := range status.Peers {
 		if peer.Up {
 			summary.PeersUp++
