evacuation: Tests of relays, restarts and outages, as states and as processes

The platform's entries are read as one object at the revision of the store. proof.TestEvacuation kills and starts a router while the platform is down.

--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -62,7 +62,12 @@
 // credits of both budgets.
 func awaitUnspentCredits(t *testing.T, f *harness.Fleet, credits int64) {
 	t.Helper()
-	for _, router := range f.Routers {
+	awaitUnspentCreditsAt(t, f.Routers, credits)
+}
+
+func awaitUnspentCreditsAt(t *testing.T, routers []*harness.Router, credits int64) {
+	t.Helper()
+	for _, router := range routers {
 		var state harness.Dump
 		t.Cleanup(func() {
 			if t.Failed() {
--- a/proof/process/harness/operate.go
+++ b/proof/process/harness/operate.go
@@ -30,6 +30,13 @@
 	Linked     []string                  `json:"linked"`
 	Endpoints  map[string][]endpointDump `json:"endpoints"`
 	Budgets    []operatorapi.BudgetLevel `json:"budgets"`
+	// Evacuations is empty if the router has no reading of the evacuated zones.
+	Evacuations evacuationsDump `json:"evacuations"`
+}
+
+// evacuationsDump is the entry of the evacuated zones in the state dump of a router.
+type evacuationsDump struct {
+	InForce []string `json:"in_force"`
 }
 
 // endpointDump is the entry of an endpoint in the state dump of a router.
