--- a/fleet/request/serve/pick.go
+++ b/fleet/request/serve/pick.go
@@ -7,6 +7,7 @@
 	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/request/balancer"
 	"jacinthpaddle.example/fleet/request/outcome"
+	"jacinthpaddle.example/fleet/version/declaration"
 	"jacinthpaddle.example/fleet/version/homes"
 )
 
@@ -32,11 +33,15 @@
 	if err := r.checkHomes(job); err != nil {
 		return nil, err
 	}
-	return nil, &outcome.Error{
+	return nil, noEndpointError(job.Plan.Pool)
+}
+
+func noEndpointError(pool declaration.Pool) *outcome.Error {
+	return &outcome.Error{
 		Code:   outcome.NoEndpoint,
 		Run:    journal.NotRun,
 		Object: "pool",
-		Name:   job.Plan.Pool.Name,
+		Name:   pool.Name,
 		Reason: "no endpoint of the pool can take the request",
 	}
 }
--- a/router/process/node/generation.go
+++ b/router/process/node/generation.go
@@ -23,16 +23,11 @@
 		return
 	}
 	state.Generation = m.Generation
-	active := snapshot.New(m.Generation.Number, m.Generation.Set)
-	state.ActiveSnapshot.Store(active)
-	for budget := range state.Quota.Allocations {
-		state.Quota.SetPurchased(budget, state.purchased(budget))
-	}
+	state.activateGeneration()
 	state.updateEndpoints()
 	state.announceGenerationToAll()
 	state.Log.Emit(event.GenerationActivated, event.Int("generation", m.Generation.Number),
 		event.String("digest", m.Generation.Digest))
-	state.logHomeConflicts(active)
 }
 
 // maxConflictLines bounds the log lines about conflicts of homes in one generation.
@@ -46,6 +41,21 @@
 	}
 }
 
+// activateGeneration makes the generation available to requests, unless there is no reading
+// of the evacuated zones yet: until then the process refuses requests as it does without a
+// configuration.
+func (s *State) activateGeneration() {
+	if s.Generation.Number == 0 || !s.evacuationsKnown() {
+		return
+	}
+	active := snapshot.New(s.Generation.Number, s.Generation.Set)
+	s.ActiveSnapshot.Store(active)
+	s.logHomeConflicts(active)
+	for budget := range s.Quota.Allocations {
+		s.Quota.SetPurchased(budget, s.purchased(budget))
+	}
+}
+
 // announceGeneration sends the number of the active generation to a peer.
 func (s *State) announceGeneration(to ident.Incarnation) {
 	if s.Generation.Number == 0 {
