balancer, endpoint: Bound the requests to cold endpoints over all routers

Cause: an endpoint that has just started, or that reports itself as cold at any other moment, bears only a part of its usual load and crashes above that. Routers knew nothing of it: each sent by its own view of the load, where an idle endpoint is the best choice.

Change: a pool declares cold_rate and cold_time. The list of VMs tells how long an endpoint stays cold; four stewards by rendezvous hash over the routers of that list share its rate (fleet/connection/coldstart), and the picker passes over cold endpoints whose part is used up. No message for a request, and a partition changes nothing. A report that is relayed or read again does not restart the cold time.

--- a/fleet/connection/endpoint/dialect.go
+++ b/fleet/connection/endpoint/dialect.go
@@ -44,6 +44,8 @@
 	// RetryAfter is how long the endpoint, which refused the request, wants no further ones
 	// from this process. Zero is no restriction.
 	RetryAfter time.Duration
+	// ColdLeft is how much longer the endpoint stays cold, or zero.
+	ColdLeft time.Duration
 	// Load is nil if the response reports no load.
 	Load *Load
 }
--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -25,6 +25,7 @@
 	"sync/atomic"
 	"time"
 
+	"jacinthpaddle.example/fleet/connection/coldstart"
 	"jacinthpaddle.example/fleet/process/vm"
 )
 
@@ -106,6 +107,8 @@
 	// requests: when it was added after the first update, or when an ejection ended. It is
 	// zero if neither happened.
 	SlowStartSince AtomicTime
+	// Cold bounds the requests of this process while the endpoint is cold.
+	Cold coldstart.Limiter
 }
 
 // Dump is a snapshot of a State for operators.
@@ -120,6 +123,8 @@
 	ConsecutiveFailures int64     `json:"failures"`
 	EjectedUntil        time.Time `json:"ejected_until"`
 	PausedUntil         time.Time `json:"paused_until"`
+	// Cold is nil unless the endpoint is cold.
+	Cold *coldstart.Period `json:"cold,omitempty"`
 }
 
 // Usable reports whether no source reported the endpoint as leaving.
@@ -234,6 +239,9 @@
 	if response.RetryAfter > 0 {
 		s.pauseUntil(now.Add(response.RetryAfter))
 	}
+	if response.ColdLeft > 0 {
+		s.Cold.Begin(now.Add(response.ColdLeft), coldstart.ByResponse)
+	}
 	if response.Load != nil {
 		s.ApplyReport(Report{
 			InFlight:   response.Load.Running,
@@ -246,7 +254,7 @@
 }
 
 // Dump returns a snapshot of the state.
-func (s *State) Dump() Dump {
+func (s *State) Dump(now time.Time) Dump {
 	dump := Dump{
 		Name:                s.VM.Name,
 		Address:             s.Address,
@@ -256,6 +264,7 @@
 		Leaving:             s.Leaving.Load(),
 		MissedPolls:         s.MissedPolls.Load(),
 		ConsecutiveFailures: s.ConsecutiveFailures.Load(),
+		Cold:                s.Cold.Cold(now),
 	}
 	dump.EjectedUntil = s.EjectedUntil.Load().UTC()
 	dump.PausedUntil = s.PausedUntil.Load().UTC()
--- a/fleet/connection/endpoint/table.go
+++ b/fleet/connection/endpoint/table.go
@@ -2,14 +2,13 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"jacinthpaddle.example/fleet/connection/coldstart"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/vm"
@@ -22,6 +21,10 @@
 	Locality vm.Locality
 	// Incarnation makes processes of the same locality poll different endpoints.
 	Incarnation ident.Incarnation
+	// VM is the name of the VM of this process, and EntryPool the pool of the VMs on which
+	// routers run. They determine the share of this process at cold endpoints.
+	VM        string
+	EntryPool string
 	// LeavingHold is how long a leaving endpoint stays excluded although the list of VMs
 	// reports it as live.
 	LeavingHold time.Duration
@@ -102,19 +105,22 @@
 	current atomic.Pointer[View]
 
 	entries map[key]*entry
+	// settledAt is when the process may use its share at cold endpoints.
+	settledAt time.Time
 }
 
 // entry is a listed endpoint, or one that was removed from the list of VMs less than
 // Config.LeavingHold ago.
 type entry struct {
 	state *State
+	cold  coldReport
 	// unlistedSince is zero while the endpoint is listed.
 	unlistedSince time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(config Config, clk clock.Clock) *Table {
-	table := &Table{config: config, clock: clk, entries: make(map[key]*entry)}
+	table := &Table{config: config, clock: clk, entries: make(map[key]*entry), settledAt: clk.Now().Add(coldstart.SettleTime)}
 	table.current.Store(&View{})
 	return table
 }
@@ -131,6 +137,7 @@
 	initial := len(t.entries) == 0
 	listed := make(map[key]bool)
 	view := &View{pools: make(map[string][]*State)}
+	stewards := coldstart.NewStewards(vm.InPool(list, t.config.EntryPool))
 	for _, pool := range pools {
 		if pool.Kind != declaration.EndpointPool {
 			continue
@@ -138,7 +145,9 @@
 		var endpoints []*State
 		for _, machine := range vm.InPool(list, pool.Name) {
 			state := t.stateOf(machine, pool.Port, now, initial)
-			listed[key{machine.Name, state.Address, machine.Incarnation}] = true
+			id := keyOf(machine, pool.Port)
+			listed[id] = true
+			t.updateCold(t.entries[id], machine, pool, stewards, now)
 			if t.applyListedState(state, machine.State, now) {
 				endpoints = append(endpoints, state)
 			}
@@ -154,19 +163,15 @@
 // stateOf returns the state of the VM and creates it if there is none. A new endpoint
 // starts slowly, except for those of the first update.
 func (t *Table) stateOf(machine vm.VM, port int, now time.Time, initial bool) *State {
-	if machine.Port != 0 {
-		port = machine.Port
-	}
-	address := net.JoinHostPort(machine.Address, strconv.Itoa(port))
-	id := key{machine.Name, address, machine.Incarnation}
+	id := keyOf(machine, port)
 	if existing, ok := t.entries[id]; ok {
 		existing.unlistedSince = time.Time{}
 		return existing.state
 	}
 	state := &State{
 		VM:      machine,
-		Address: address,
-		Client:  NewClient(address, t.config, t.clock),
+		Address: id.address,
+		Client:  NewClient(id.address, t.config, t.clock),
 	}
 	if !initial {
 		state.SlowStartSince.Store(now)
--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -58,6 +58,8 @@
 	FrameDropped        = Kind{7003, "frame of another attempt dropped", logrus.WarnLevel}
 	PartQuarantined     = Kind{7004, "prompt part quarantined", logrus.WarnLevel}
 	PartReleased        = Kind{7005, "prompt part released", logrus.InfoLevel}
+	EndpointCold        = Kind{7006, "endpoint cold", logrus.InfoLevel}
+	EndpointWarm        = Kind{7007, "endpoint warm", logrus.InfoLevel}
 	RequestFailed       = Kind{8001, "request failed", logrus.InfoLevel}
 	ClaimFailed         = Kind{8002, "claim of an idempotency key not written", logrus.WarnLevel}
 	ForwardFailed       = Kind{8003, "request not forwarded to the holder of its key", logrus.WarnLevel}
@@ -78,6 +80,7 @@
 		JournalFailed, JournalRecovered, JournalFull,
 		PeerUp, PeerDown,
 		EndpointEjected, EndpointLeaving, FrameDropped, PartQuarantined, PartReleased,
+		EndpointCold, EndpointWarm,
 		RequestFailed, ClaimFailed, ForwardFailed, RunPanicked, RequestRefused, RequestServed, AttemptFailed,
 	}
 }
--- a/fleet/process/meter/meter.go
+++ b/fleet/process/meter/meter.go
@@ -89,6 +89,29 @@
 	return errors.Annotate(err, "metrics")
 }
 
+// ObserveColdEndpoints adds a gauge of the endpoints that are cold and a counter of the
+// picks that passed over one. The function read returns both. It is called at each scrape.
+func (m *Metrics) ObserveColdEndpoints(read func() (cold, heldBack int64)) error {
+	_, err := m.meter.Int64ObservableGauge("endpoints_cold",
+		metric.WithDescription("endpoints that are cold"), metric.WithUnit("{endpoint}"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			cold, _ := read()
+			observer.Observe(cold)
+			return nil
+		}))
+	if err != nil {
+		return errors.Annotate(err, "metrics")
+	}
+	_, err = m.meter.Int64ObservableCounter("cold_held_back",
+		metric.WithDescription("attempts that passed over a cold endpoint"), metric.WithUnit("{attempt}"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			_, heldBack := read()
+			observer.Observe(heldBack)
+			return nil
+		}))
+	return errors.Annotate(err, "metrics")
+}
+
 // ObserveLog adds a counter of the log lines that were dropped. The function dropped
 // returns the total. It is called at each scrape.
 func (m *Metrics) ObserveLog(dropped func() int64) error {
--- a/fleet/process/vm/vm.go
+++ b/fleet/process/vm/vm.go
@@ -9,7 +9,10 @@
 //	list, applied := earlier.Apply(delta)
 package vm
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // State is the state of a VM as the platform reports it.
 type State string
@@ -41,6 +44,15 @@
 	// Incarnation distinguishes the starts of what runs on a VM that keeps its name and
 	// address. It is empty if the platform does not tell.
 	Incarnation string `json:"incarnation,omitempty"`
+	// Power is the processing power of the VM in cores, or zero if the list does not
+	// contain it.
+	Power float64 `json:"power,omitempty"`
+	// ColdLeft is how much longer the endpoint on the VM stays cold, counted from when this
+	// process received it. It is zero for an endpoint that is not cold.
+	ColdLeft time.Duration `json:"cold_left,omitempty"`
+	// ColdRevision identifies the report that ColdLeft comes from. A report that is received
+	// again, over another way, has the same one. Zero is unknown.
+	ColdRevision int64 `json:"cold_revision,omitempty"`
 }
 
 // Lister reads the platform's list of VMs, which lags behind their actual state.
--- a/fleet/request/balancer/ejection.go
+++ b/fleet/request/balancer/ejection.go
@@ -122,7 +122,7 @@
 }
 
 // readmit resets the failure count. If the endpoint is ejected, it ends the ejection
-// and begins a slow start.
+// and begins a slow start. The endpoint may have started anew and be cold.
 func (e *ejector) readmit(state *endpoint.State, now time.Time) {
 	state.ConsecutiveFailures.Store(0)
 	if state.EjectedUntil.Load().IsZero() {
@@ -131,6 +131,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state.SlowStartSince.Store(now)
+	state.Cold.Presume(now)
 	state.ConsecutiveEjections.Store(0)
 	state.EjectedUntil.Store(time.Time{})
 	state.TrialInFlight.Store(false)
--- a/fleet/request/balancer/picker.go
+++ b/fleet/request/balancer/picker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"jacinthpaddle.example/fleet/connection/endpoint"
@@ -79,6 +80,14 @@
 	policy   Policy[*endpoint.State]
 	affinity *AffinityCache[uint64, *endpoint.State]
 	ejector  *ejector
+	// heldBack counts the picks that passed over a cold endpoint.
+	heldBack atomic.Int64
+}
+
+// HeldBack returns the number of picks since the start that passed over a cold endpoint,
+// because this process had sent its share of requests or has none.
+func (p *Picker) HeldBack() int64 {
+	return p.heldBack.Load()
 }
 
 // New returns a picker with the PowerOfTwo policy.
@@ -131,13 +140,16 @@
 }
 
 // acquire counts the request as in flight at the endpoint and returns true, unless the
-// endpoint is ejected or at its limit.
+// endpoint is ejected, at its limit, or cold without a share of this process left.
 func (p *Picker) acquire(state *endpoint.State, request Request) bool {
 	if !p.ejector.tryAdmit(state, request.Now) {
 		return false
 	}
 	if state.Acquire(state.Limit(request.MaxInFlight)) {
-		return true
+		if state.Cold.Take(request.Now) {
+			return true
+		}
+		state.Release()
 	}
 	p.ejector.cancelTrial(state)
 	return false
@@ -147,10 +159,15 @@
 // avoid and unresponsive ones are returned apart, as a last resort.
 func (p *Picker) candidates(members []*endpoint.State, request Request) (preferred, lastResort []Candidate[*endpoint.State]) {
 	preferred = make([]Candidate[*endpoint.State], 0, len(members))
+	heldBack := false
 	for _, state := range members {
 		if !state.Usable() || state.Paused(request.Now) || !p.ejector.selectable(state, request.Now) {
 			continue
 		}
+		if !state.Cold.Allows(request.Now) {
+			heldBack = true
+			continue
+		}
 		candidate := p.candidate(state, request)
 		if p.ejector.unresponsive(state) || slices.Contains(request.Avoid, state) {
 			lastResort = append(lastResort, candidate)
@@ -158,6 +175,9 @@
 		}
 		preferred = append(preferred, candidate)
 	}
+	if heldBack {
+		p.heldBack.Add(1)
+	}
 	sortByPenalty(preferred)
 	sortByPenalty(lastResort)
 	return preferred, lastResort
--- a/fleet/version/declaration/check.go
+++ b/fleet/version/declaration/check.go
@@ -18,8 +18,10 @@
 	// MaxCount is the largest concurrency limit and the largest number of attempts.
 	MaxCount = 1 << 20
 	// MaxWeight is the largest weight of a team.
-	MaxWeight  = 1000
-	MaxPort    = 1<<16 - 1
+	MaxWeight = 1000
+	MaxPort   = 1<<16 - 1
+	// MinRate is the lowest rate, in requests per second.
+	MinRate    = 0.001
 	MinTimeout = 10 * time.Millisecond
 	MaxTimeout = time.Hour
 )
@@ -192,11 +194,27 @@
 	fault := Fault{Kind: "pool", Name: pool.Name}
 	c.checkRange(fault.withField("port"), int64(pool.Port), MaxPort)
 	c.checkRange(fault.withField("max_in_flight"), int64(pool.MaxInFlight), MaxCount)
+	c.checkColdRate(pool)
 	if !slices.Contains([]PoolKind{EntryPool, EndpointPool}, pool.Kind) {
 		c.addFault(fault.withField("kind"), "%q is not %s or %s", pool.Kind, EntryPool, EndpointPool)
 	}
 }
 
+// checkColdRate reports a rate or a time of cold VMs without the other, or out of range.
+func (c *checker) checkColdRate(pool Pool) {
+	fault := Fault{Kind: "pool", Name: pool.Name}
+	if pool.ColdRate == 0 && pool.ColdTime == 0 {
+		return
+	}
+	if !(pool.ColdRate >= MinRate && pool.ColdRate <= MaxCount) {
+		c.addFault(fault.withField("cold_rate"), "%g is not between %g and %d", pool.ColdRate, MinRate, MaxCount)
+	}
+	c.checkTimeout(fault.withField("cold_time"), pool.ColdTime, MaxTimeout)
+	if pool.Kind == EntryPool {
+		c.addFault(fault.withField("cold_rate"), "only a pool of endpoints can have one")
+	}
+}
+
 // checkRange reports a value below one or above the limit.
 func (c *checker) checkRange(fault Fault, value, limit int64) {
 	if value < 1 || value > limit {
--- a/fleet/version/declaration/declaration.go
+++ b/fleet/version/declaration/declaration.go
@@ -121,6 +121,11 @@
 	// TokensPerEvent is the largest number of output tokens in one event of a stream. Zero
 	// is treated as one.
 	TokensPerEvent int64 `json:"tokens_per_event,omitempty"`
+	// ColdRate is the number of requests per second that all routers together send to one
+	// VM while it is cold. Zero is no bound.
+	ColdRate float64 `json:"cold_rate,omitempty"`
+	// ColdTime is how long a VM is cold after its start.
+	ColdTime time.Duration `json:"cold_time,omitempty"`
 }
 
 // PathKind determines whether requests of a path may be retried after they may have run.
--- a/fleet/version/declaration/field.go
+++ b/fleet/version/declaration/field.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// rateField returns a field for a number per second, which may have a fraction.
+func rateField[T any](name string, access func(*T) *float64) field[T] {
+	return field[T]{
+		name: name,
+		parse: func(object *T, text string) error {
+			rate, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				return errors.Errorf("%q is not a number such as 2.5", text)
+			}
+			*access(object) = rate
+			return nil
+		},
+		format: func(object *T) string { return strconv.FormatFloat(*access(object), 'g', -1, 64) },
+	}
+}
+
 func durationField[T any](name string, access func(*T) *time.Duration) field[T] {
 	return field[T]{
 		name: name,
--- a/fleet/version/declaration/schema.go
+++ b/fleet/version/declaration/schema.go
@@ -147,6 +147,8 @@
 			textField("kind", func(p *Pool) *PoolKind { return &p.Kind }).asRequired(),
 			countField("port", func(p *Pool) *int { return &p.Port }).asRequired(),
 			countField("max_in_flight", func(p *Pool) *int { return &p.MaxInFlight }),
+			rateField("cold_rate", func(p *Pool) *float64 { return &p.ColdRate }),
+			durationField("cold_time", func(p *Pool) *time.Duration { return &p.ColdTime }),
 		},
 	}
 }
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -166,6 +166,9 @@
 	if err := metrics.ObservePeers(node.peerBytes); err != nil {
 		return nil, err
 	}
+	if err := metrics.ObserveColdEndpoints(node.coldEndpoints); err != nil {
+		return nil, err
+	}
 	if deps.LinesDropped != nil {
 		if err := metrics.ObserveLog(deps.LinesDropped); err != nil {
 			return nil, err
@@ -207,6 +210,12 @@
 	return received, sent
 }
 
+// coldEndpoints returns the number of endpoints that are cold, and that of the picks since
+// the start that passed over one.
+func (n *Node) coldEndpoints() (cold, heldBack int64) {
+	return int64(n.state.Endpoints.View().Cold(n.Clock.Now())), n.runner.Picker.HeldBack()
+}
+
 func (n *Node) member() member.Member {
 	return member.Member{
 		Incarnation:      n.Self,
@@ -216,7 +225,7 @@
 		CallerAddress:    n.Settings.callerAddress(),
 		OperatorsAddress: n.Settings.HostPort(n.Settings.Listen.OperatorsPort),
 		Locality:         n.Settings.Locality(),
-		Power:            n.Settings.VM.Cores * n.Settings.VM.CPUShare,
+		Power:            n.Settings.VM.Power(),
 		State:            member.Live,
 		Started:          n.Clock.Now(),
 	}
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -40,6 +40,11 @@
 	CPUShare float64 `ini:"cpu_share"`
 }
 
+// Power returns the processing power of the VM in cores.
+func (v VMSettings) Power() float64 {
+	return v.Cores * v.CPUShare
+}
+
 // ListenSettings has the TCP ports on the VM's address, and separate addresses for the
 // front ends of an adapter.
 type ListenSettings struct {
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -189,6 +189,8 @@
 func newEndpointConfig(self member.Member, settings Settings, dialect endpoint.Dialect) endpoint.Config {
 	config := endpoint.Defaults(self.Locality, self.Incarnation)
 	config.LeavingHold = settings.Platform.LeavingHold
+	config.VM = self.VM
+	config.EntryPool = settings.Fleet.EntryPool
 	config.MaxPolled = settings.Platform.PolledEndpoints
 	config.Dialect = dialect
 	return config
--- a/router/process/node/status.go
+++ b/router/process/node/status.go
@@ -121,7 +121,7 @@
 	slices.Sort(dump.Linked)
 	for _, pool := range s.Generation.Set.Pools {
 		for _, state := range s.Endpoints.View().InPool(pool.Name) {
-			dump.Endpoints[pool.Name] = append(dump.Endpoints[pool.Name], state.Dump())
+			dump.Endpoints[pool.Name] = append(dump.Endpoints[pool.Name], state.Dump(s.Clock.Now()))
 		}
 	}
 	return dump
--- a/router/process/node/vm_list.go
+++ b/router/process/node/vm_list.go
@@ -121,7 +121,8 @@
 // process would read the list itself.
 func (s *State) handleVMList(from ident.Incarnation, message peer.VMList) {
 	if message.Wanted {
-		whole := peer.VMList{Delta: vm.Diff(vm.List{}, s.vmList)}
+		current := vm.List{Version: s.vmList.Version, VMs: s.Endpoints.WithColdLeft(s.vmList.VMs, s.Generation.Set.Pools)}
+		whole := peer.VMList{Delta: vm.Diff(vm.List{}, current)}
 		s.send(from, peer.Message{VMList: &whole})
 		return
 	}
--- a/router/process/node/vm_list_test.go
+++ b/router/process/node/vm_list_test.go
@@ -171,6 +171,27 @@
 	}
 }
 
+// A process that requests the whole list must not take an endpoint as cold for longer than
+// the others do.
+func TestRequestedListHasTheColdTimeLeft(t *testing.T) {
+	state := newRelayingState()
+	state.Generation.Set.Pools[0].ColdRate = 10
+	cold := engineVM("a")
+	cold.ColdLeft, cold.ColdRevision = 3*time.Second, 7
+	node.VMListRead{List: vm.List{Version: 8, VMs: []vm.VM{cold}}}.Apply(state.State)
+	for _, message := range state.sentLists() {
+		if got := message.VMList.Changed[0].ColdLeft; got != 3*time.Second {
+			t.Errorf("relayed at once: got %s left, want 3s", got)
+		}
+	}
+	state.Clock.(*clock.Fake).Advance(2 * time.Second)
+	node.PeerMessage{Message: peer.Message{From: "n0", VMList: &peer.VMList{Wanted: true}}}.Apply(state.State)
+	replies := state.sentLists()
+	if len(replies) != 1 || replies[0].VMList.Changed[0].ColdLeft != time.Second {
+		t.Errorf("requested after 2 s: got %+v, want 1s left", replies)
+	}
+}
+
 // A process that receives no list of VMs from peers must read the platform itself. One that
 // was started while the processes that watch for its availability zone were partitioned had
 // no configuration for 4 s, since it neither watched the store nor was notified
