balancer, endpoint: Choose endpoints by the speed that they report

Cause: endpoints that share their machines report how long work takes there at the moment, as a fourth figure of their load. Nothing used it, and a load report with four figures was ignored as a whole, also its running and waiting requests and its slots.

Change: the report is read. speed.Estimator turns the reports of one endpoint into the time that work is expected to take: the mean, and of the last report what lasts for its age by the correlation of the reports themselves; bounded, and usual again without reports. It multiplies the expected load of plain endpoints. Engines are compared by it only within a small random sample, so that routers with the same old report make no herd.

--- a/fleet/connection/endpoint/cold.go
+++ b/fleet/connection/endpoint/cold.go
@@ -83,6 +83,20 @@
 	return key{machine.Name, net.JoinHostPort(machine.Address, strconv.Itoa(port)), machine.Incarnation}
 }
 
+// Slow returns the number of endpoints in all pools at which work is estimated to take at
+// least SlowFactor times as long as usual.
+func (v *View) Slow(now time.Time) int {
+	count := 0
+	for _, states := range v.pools {
+		for _, state := range states {
+			if state.Speed.Factor(now) >= SlowFactor {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // Cold returns the number of endpoints in all pools that are cold now.
 func (v *View) Cold(now time.Time) int {
 	count := 0
--- a/fleet/connection/endpoint/dialect.go
+++ b/fleet/connection/endpoint/dialect.go
@@ -58,6 +58,9 @@
 	Waiting int
 	// Slots is the number of requests that the endpoint can execute at the same time.
 	Slots int
+	// WorkFactor is how long work takes at the endpoint now, relative to usual. Zero is not
+	// reported.
+	WorkFactor float64
 }
 
 // Dialect encodes the headers that are exchanged with endpoints. It is safe for
--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"jacinthpaddle.example/fleet/connection/coldstart"
+	"jacinthpaddle.example/fleet/connection/speed"
 	"jacinthpaddle.example/fleet/process/vm"
 )
 
@@ -109,6 +110,8 @@
 	SlowStartSince AtomicTime
 	// Cold bounds the requests of this process while the endpoint is cold.
 	Cold coldstart.Limiter
+	// Speed estimates how long work takes at the endpoint, if it reports that.
+	Speed speed.Estimator
 }
 
 // Dump is a snapshot of a State for operators.
@@ -125,6 +128,10 @@
 	PausedUntil         time.Time `json:"paused_until"`
 	// Cold is nil unless the endpoint is cold.
 	Cold *coldstart.Period `json:"cold,omitempty"`
+	// WorkFactor is the estimated time that work takes relative to usual. It is zero for an
+	// endpoint that does not report its speed.
+	WorkFactor float64         `json:"work_factor,omitempty"`
+	Speed      *speed.Estimate `json:"speed,omitempty"`
 }
 
 // Usable reports whether no source reported the endpoint as leaving.
@@ -249,6 +256,7 @@
 			Slots:      response.Load.Slots,
 			ReceivedAt: now,
 		})
+		s.Speed.Observe(response.Load.WorkFactor, now)
 	}
 	return response, nil
 }
@@ -266,6 +274,9 @@
 		ConsecutiveFailures: s.ConsecutiveFailures.Load(),
 		Cold:                s.Cold.Cold(now),
 	}
+	if dump.Speed = s.Speed.Estimate(); dump.Speed != nil {
+		dump.WorkFactor = dump.Speed.Factor(now)
+	}
 	dump.EjectedUntil = s.EjectedUntil.Load().UTC()
 	dump.PausedUntil = s.PausedUntil.Load().UTC()
 	return dump
--- a/fleet/connection/endpoint/table.go
+++ b/fleet/connection/endpoint/table.go
@@ -71,6 +71,10 @@
 // restore an entry.
 const RetiringHold = time.Minute
 
+// SlowFactor is the time that work takes, relative to usual, from which an endpoint counts
+// as slow for operators.
+const SlowFactor = 1.5
+
 // key identifies an endpoint. A VM that is listed again with another address or
 // incarnation is another endpoint.
 type key struct {
--- a/fleet/process/meter/meter.go
+++ b/fleet/process/meter/meter.go
@@ -89,6 +89,18 @@
 	return errors.Annotate(err, "metrics")
 }
 
+// ObserveSlowEndpoints adds a gauge of the endpoints that report themselves as slow. The
+// function read is called at each scrape.
+func (m *Metrics) ObserveSlowEndpoints(read func() int64) error {
+	_, err := m.meter.Int64ObservableGauge("endpoints_slow",
+		metric.WithDescription("endpoints that report themselves as slow"), metric.WithUnit("{endpoint}"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(read())
+			return nil
+		}))
+	return errors.Annotate(err, "metrics")
+}
+
 // ObserveColdEndpoints adds a gauge of the endpoints that are cold and a counter of the
 // picks that passed over one. The function read returns both. It is called at each scrape.
 func (m *Metrics) ObserveColdEndpoints(read func() (cold, heldBack int64)) error {
--- a/fleet/request/balancer/engine.go
+++ b/fleet/request/balancer/engine.go
@@ -32,6 +32,9 @@
 	// DefaultPromptTokens is the prompt size assumed for each request of another
 	// router that waits at an engine.
 	DefaultPromptTokens float64
+	// SpeedSamples is the number of random engines whose speed is compared with that of the
+	// engine that would be picked without it.
+	SpeedSamples int
 }
 
 // EngineDefaults returns the configuration for engines that process about 50,000
@@ -45,6 +48,7 @@
 		CacheHitWeight:         3,
 		ReportMaxAge:           1500 * time.Millisecond,
 		DefaultPromptTokens:    5_000,
+		SpeedSamples:           3,
 	}
 }
 
@@ -53,24 +57,29 @@
 // cache, the one by rendezvous hashing and the one last picked for it. Their cost is
 // reduced by the prefill time that a cache hit saves, times CacheHitWeight.
 func (p *Picker) lowestDelay(candidates []Candidate[*endpoint.State], request Request) int {
-	rendezvousPick, lastPick := -1, -1
+	cached := cachedEngines{-1, -1}
 	if request.Prefix != 0 {
-		rendezvousPick, lastPick = rendezvousIndex(candidates, request.Prefix), p.lastPickedIndex(candidates, request.Prefix)
+		cached = cachedEngines{rendezvousIndex(candidates, request.Prefix), p.lastPickedIndex(candidates, request.Prefix)}
 	}
+	hitGain := p.config.Engine.CacheHitWeight * float64(request.PrefixTokens) / p.config.Engine.PrefillTokensPerSecond
 	best := 0
 	var lowest float64
 	for index, candidate := range candidates {
 		cost := candidate.Cost()
-		if index == rendezvousPick || index == lastPick {
-			cost -= p.config.Engine.CacheHitWeight * float64(request.PrefixTokens) / p.config.Engine.PrefillTokensPerSecond
+		if slices.Contains(cached[:], index) {
+			cost -= hitGain
 		}
 		if index == 0 || cost < lowest {
 			best, lowest = index, cost
 		}
 	}
-	return best
+	return p.compareSpeeds(candidates, request.Now, best, cached, hitGain)
 }
 
+// cachedEngines has the indices of the engines that are expected to hold a prefix. An index
+// is -1 if there is none.
+type cachedEngines [2]int
+
 // rendezvousIndex returns the index of the engine that ranks highest for the prefix by
 // rendezvous hashing. All routers with the same candidates agree on it.
 func rendezvousIndex(candidates []Candidate[*endpoint.State], prefix uint64) int {
--- a/fleet/request/balancer/picker.go
+++ b/fleet/request/balancer/picker.go
@@ -80,6 +80,8 @@
 	policy   Policy[*endpoint.State]
 	affinity *AffinityCache[uint64, *endpoint.State]
 	ejector  *ejector
+	// source samples engines by their speed. Nil samples none.
+	source random.Source
 	// heldBack counts the picks that passed over a cold endpoint.
 	heldBack atomic.Int64
 }
@@ -92,10 +94,12 @@
 
 // New returns a picker with the PowerOfTwo policy.
 func New(config Config, source random.Source) *Picker {
-	return NewWith(config, PowerOfTwo[*endpoint.State]{Source: source})
+	picker := NewWith(config, PowerOfTwo[*endpoint.State]{Source: source})
+	picker.source = source
+	return picker
 }
 
-// NewWith returns a picker with the policy.
+// NewWith returns a picker with the policy. It samples no engines by their speed.
 func NewWith(config Config, policy Policy[*endpoint.State]) *Picker {
 	return &Picker{
 		config:   config,
@@ -197,7 +201,7 @@
 	now := request.Now
 	return Candidate[*endpoint.State]{
 		Target:  state,
-		Load:    p.expectedLoad(state, now) / p.slowStartShare(state, now),
+		Load:    p.expectedLoad(state, now) * state.Speed.Factor(now) / p.slowStartShare(state, now),
 		Penalty: p.distancePenalty(p.config.Self.Distance(state.VM.Locality)),
 	}
 }
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -169,6 +169,9 @@
 	if err := metrics.ObserveColdEndpoints(node.coldEndpoints); err != nil {
 		return nil, err
 	}
+	if err := metrics.ObserveSlowEndpoints(node.slowEndpoints); err != nil {
+		return nil, err
+	}
 	if deps.LinesDropped != nil {
 		if err := metrics.ObserveLog(deps.LinesDropped); err != nil {
 			return nil, err
@@ -216,6 +219,11 @@
 	return int64(n.state.Endpoints.View().Cold(n.Clock.Now())), n.runner.Picker.HeldBack()
 }
 
+// slowEndpoints returns the number of endpoints that report themselves as slow.
+func (n *Node) slowEndpoints() int64 {
+	return int64(n.state.Endpoints.View().Slow(n.Clock.Now()))
+}
+
 func (n *Node) member() member.Member {
 	return member.Member{
 		Incarnation:      n.Self,
