--- a/fleet/connection/endpoint/dialect.go
+++ b/fleet/connection/endpoint/dialect.go
@@ -44,6 +44,8 @@
 	// RetryAfter is how long the endpoint, which refused the request, wants no further ones
 	// from this process. Zero is no restriction.
 	RetryAfter time.Duration
+	// ColdLeft is how much longer the endpoint stays cold, or zero.
+	ColdLeft time.Duration
 	// Load is nil if the response reports no load.
 	Load *Load
 }
@@ -56,6 +58,9 @@
 	Waiting int
 	// Slots is the number of requests that the endpoint can execute at the same time.
 	Slots int
+	// WorkFactor is how long work takes at the endpoint now, relative to usual. Zero is not
+	// reported.
+	WorkFactor float64
 }
 
 // Dialect encodes the headers that are exchanged with endpoints. It is safe for
--- a/fleet/connection/endpoint/state.go
+++ b/fleet/connection/endpoint/state.go
@@ -25,6 +25,8 @@
 	"sync/atomic"
 	"time"
 
+	"jacinthpaddle.example/fleet/connection/coldstart"
+	"jacinthpaddle.example/fleet/connection/speed"
 	"jacinthpaddle.example/fleet/process/vm"
 )
 
@@ -109,6 +111,10 @@
 	// evacuated reports whether the zone was evacuated at the last Table.Update, which
 	// alone uses it.
 	evacuated bool
+	// Cold bounds the requests of this process while the endpoint is cold.
+	Cold coldstart.Limiter
+	// Speed estimates how long work takes at the endpoint, if it reports that.
+	Speed speed.Estimator
 }
 
 // Dump is a snapshot of a State for operators.
@@ -123,6 +129,12 @@
 	ConsecutiveFailures int64     `json:"failures"`
 	EjectedUntil        time.Time `json:"ejected_until"`
 	PausedUntil         time.Time `json:"paused_until"`
+	// Cold is nil unless the endpoint is cold.
+	Cold *coldstart.Period `json:"cold,omitempty"`
+	// WorkFactor is the estimated time that work takes relative to usual. It is zero for an
+	// endpoint that does not report its speed.
+	WorkFactor float64         `json:"work_factor,omitempty"`
+	Speed      *speed.Estimate `json:"speed,omitempty"`
 }
 
 // Usable reports whether no source reported the endpoint as leaving.
@@ -237,6 +249,9 @@
 	if response.RetryAfter > 0 {
 		s.pauseUntil(now.Add(response.RetryAfter))
 	}
+	if response.ColdLeft > 0 {
+		s.Cold.Begin(now.Add(response.ColdLeft), coldstart.ByResponse)
+	}
 	if response.Load != nil {
 		s.ApplyReport(Report{
 			InFlight:   response.Load.Running,
@@ -244,12 +259,13 @@
 			Slots:      response.Load.Slots,
 			ReceivedAt: now,
 		})
+		s.Speed.Observe(response.Load.WorkFactor, now)
 	}
 	return response, nil
 }
 
 // Dump returns a snapshot of the state.
-func (s *State) Dump() Dump {
+func (s *State) Dump(now time.Time) Dump {
 	dump := Dump{
 		Name:                s.VM.Name,
 		Address:             s.Address,
@@ -259,6 +275,10 @@
 		Leaving:             s.Leaving.Load(),
 		MissedPolls:         s.MissedPolls.Load(),
 		ConsecutiveFailures: s.ConsecutiveFailures.Load(),
+		Cold:                s.Cold.Cold(now),
+	}
+	if dump.Speed = s.Speed.Estimate(); dump.Speed != nil {
+		dump.WorkFactor = dump.Speed.Factor(now)
 	}
 	dump.EjectedUntil = s.EjectedUntil.Load().UTC()
 	dump.PausedUntil = s.PausedUntil.Load().UTC()
--- a/fleet/connection/endpoint/table.go
+++ b/fleet/connection/endpoint/table.go
@@ -2,14 +2,13 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"jacinthpaddle.example/fleet/connection/coldstart"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/vm"
@@ -22,6 +21,10 @@
 	Locality vm.Locality
 	// Incarnation makes processes of the same locality poll different endpoints.
 	Incarnation ident.Incarnation
+	// VM is the name of the VM of this process, and EntryPool the pool of the VMs on which
+	// routers run. They determine the share of this process at cold endpoints.
+	VM        string
+	EntryPool string
 	// LeavingHold is how long a leaving endpoint stays excluded although the list of VMs
 	// reports it as live.
 	LeavingHold time.Duration
@@ -68,6 +71,10 @@
 // restore an entry.
 const RetiringHold = time.Minute
 
+// SlowFactor is the time that work takes, relative to usual, from which an endpoint counts
+// as slow for operators.
+const SlowFactor = 1.5
+
 // key identifies an endpoint. A VM that is listed again with another address or
 // incarnation is another endpoint.
 type key struct {
@@ -104,19 +111,22 @@
 	entries map[key]*entry
 	// evacuated has the availability zones whose endpoints get no new requests.
 	evacuated []string
+	// settledAt is when the process may use its share at cold endpoints.
+	settledAt time.Time
 }
 
 // entry is a listed endpoint, or one that was removed from the list of VMs less than
 // Config.LeavingHold ago.
 type entry struct {
 	state *State
+	cold  coldReport
 	// unlistedSince is zero while the endpoint is listed.
 	unlistedSince time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(config Config, clk clock.Clock) *Table {
-	table := &Table{config: config, clock: clk, entries: make(map[key]*entry)}
+	table := &Table{config: config, clock: clk, entries: make(map[key]*entry), settledAt: clk.Now().Add(coldstart.SettleTime)}
 	table.current.Store(&View{})
 	return table
 }
@@ -133,6 +143,7 @@
 	initial := len(t.entries) == 0
 	listed := make(map[key]bool)
 	view := &View{pools: make(map[string][]*State)}
+	stewards := coldstart.NewStewards(vm.InPool(list, t.config.EntryPool))
 	for _, pool := range pools {
 		if pool.Kind != declaration.EndpointPool {
 			continue
@@ -140,7 +151,9 @@
 		var endpoints []*State
 		for _, machine := range vm.InPool(list, pool.Name) {
 			state := t.stateOf(machine, pool.Port, now, initial)
-			listed[key{machine.Name, state.Address, machine.Incarnation}] = true
+			id := keyOf(machine, pool.Port)
+			listed[id] = true
+			t.updateCold(t.entries[id], machine, pool, stewards, now)
 			inUse := t.applyEvacuation(state, now)
 			if t.applyListedState(state, machine.State, now) && inUse {
 				endpoints = append(endpoints, state)
@@ -157,19 +170,15 @@
 // stateOf returns the state of the VM and creates it if there is none. A new endpoint
 // starts slowly, except for those of the first update.
 func (t *Table) stateOf(machine vm.VM, port int, now time.Time, initial bool) *State {
-	if machine.Port != 0 {
-		port = machine.Port
-	}
-	address := net.JoinHostPort(machine.Address, strconv.Itoa(port))
-	id := key{machine.Name, address, machine.Incarnation}
+	id := keyOf(machine, port)
 	if existing, ok := t.entries[id]; ok {
 		existing.unlistedSince = time.Time{}
 		return existing.state
 	}
 	state := &State{
 		VM:      machine,
-		Address: address,
-		Client:  NewClient(address, t.config, t.clock),
+		Address: id.address,
+		Client:  NewClient(id.address, t.config, t.clock),
 	}
 	if !initial {
 		state.SlowStartSince.Store(now)
--- a/fleet/process/meter/meter.go
+++ b/fleet/process/meter/meter.go
@@ -92,27 +92,57 @@
 // ObserveEvacuations adds a gauge of the evacuated availability zones. The function zones
 // returns their number. It is called at each scrape.
 func (m *Metrics) ObserveEvacuations(zones func() int64) error {
-	_, err := m.meter.Int64ObservableGauge("evacuated_zones",
-		metric.WithDescription("availability zones whose endpoints get no new requests"), metric.WithUnit("{zone}"),
-		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
-			observer.Observe(zones())
-			return nil
-		}))
-	return errors.Annotate(err, "metrics")
+	return m.observeGauge("evacuated_zones", "availability zones whose endpoints get no new requests", "{zone}", zones)
+}
+
+// ObserveSlowEndpoints adds a gauge of the endpoints that report themselves as slow. The
+// function read is called at each scrape.
+func (m *Metrics) ObserveSlowEndpoints(read func() int64) error {
+	return m.observeGauge("endpoints_slow", "endpoints that report themselves as slow", "{endpoint}", read)
+}
+
+// ObserveColdEndpoints adds a gauge of the endpoints that are cold and a counter of the
+// picks that passed over one. The function read returns both. It is called at each scrape.
+func (m *Metrics) ObserveColdEndpoints(read func() (cold, heldBack int64)) error {
+	err := m.observeGauge("endpoints_cold", "endpoints that are cold", "{endpoint}", func() int64 {
+		cold, _ := read()
+		return cold
+	})
+	if err != nil {
+		return err
+	}
+	return m.observeCounter("cold_held_back", "attempts that passed over a cold endpoint", "{attempt}", func() int64 {
+		_, heldBack := read()
+		return heldBack
+	})
 }
 
 // ObserveLog adds a counter of the log lines that were dropped. The function dropped
 // returns the total. It is called at each scrape.
 func (m *Metrics) ObserveLog(dropped func() int64) error {
-	_, err := m.meter.Int64ObservableCounter("log_lines_dropped",
-		metric.WithDescription("log lines that were not written"), metric.WithUnit("{line}"),
-		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
-			observer.Observe(dropped())
-			return nil
-		}))
+	return m.observeCounter("log_lines_dropped", "log lines that were not written", "{line}", dropped)
+}
+
+func (m *Metrics) observeGauge(name, description, unit string, read func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description), metric.WithUnit(unit),
+		metric.WithInt64Callback(observe(read)))
+	return errors.Annotate(err, "metrics")
+}
+
+func (m *Metrics) observeCounter(name, description, unit string, read func() int64) error {
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description), metric.WithUnit(unit),
+		metric.WithInt64Callback(observe(read)))
 	return errors.Annotate(err, "metrics")
 }
 
+// observe returns a callback that observes the value that read returns.
+func observe(read func() int64) metric.Int64Callback {
+	return func(_ context.Context, observer metric.Int64Observer) error {
+		observer.Observe(read())
+		return nil
+	}
+}
+
 func direction(name string) metric.MeasurementOption {
 	return metric.WithAttributes(attribute.String("direction", name))
 }
--- a/router/process/node/vm_list.go
+++ b/router/process/node/vm_list.go
@@ -125,7 +125,8 @@
 		s.handleEvacuations(from, *message.Evacuations)
 	}
 	if message.Wanted {
-		whole := peer.VMList{Delta: vm.Diff(vm.List{}, s.vmList), Evacuations: s.heldEvacuations()}
+		current := vm.List{Version: s.vmList.Version, VMs: s.Endpoints.WithColdLeft(s.vmList.VMs, s.Generation.Set.Pools)}
+		whole := peer.VMList{Delta: vm.Diff(vm.List{}, current), Evacuations: s.heldEvacuations()}
 		s.send(from, peer.Message{VMList: &whole})
 		return
 	}
