admission, endpoint, runner: State the priority of a request at its endpoint

Cause: engines admit and preempt by the priority that a request states, and no request stated one. The priority of a team was not even read.

Change: the plan has the priority of the team or else of the path, and each attempt states it.

--- a/fleet/connection/endpoint/dialect.go
+++ b/fleet/connection/endpoint/dialect.go
@@ -28,6 +28,9 @@
 	Team     string
 	// Remaining is the time until the deadline of the request.
 	Remaining time.Duration
+	// Priority is the rank of the request at the endpoint, where zero is the most urgent. It
+	// is nil if the request has none.
+	Priority *int
 }
 
 // ResponseInfo is what a dialect reads from the head of a response.
--- a/fleet/request/admission/admission.go
+++ b/fleet/request/admission/admission.go
@@ -52,6 +52,9 @@
 	// StallTimeout bounds the time in which an endpoint sends nothing.
 	StallTimeout time.Duration
 
+	// Priority is the rank of the request at an endpoint, where zero is the most urgent. It is
+	// nil if the request has none.
+	Priority *int
 	// CancelOnDisconnect cancels the request when its caller disconnects, even if the
 	// request is not idempotent.
 	CancelOnDisconnect bool
--- a/fleet/request/admission/path.go
+++ b/fleet/request/admission/path.go
@@ -53,6 +53,7 @@
 		InputPrice:         1,
 		OutputPrice:        1,
 		MaxOutput:          request.MaxOutput,
+		Priority:           priority(path, team),
 		Timeout:            path.Timeout,
 		StallTimeout:       stallTimeout(path),
 		CancelOnDisconnect: path.Kind != declaration.UnsafePath,
@@ -77,6 +78,14 @@
 	return Authenticate(config, key)
 }
 
+// priority returns the priority of the team, if it has one, and else that of the path.
+func priority(path declaration.Path, team declaration.Team) *int {
+	if team.Priority != nil {
+		return team.Priority
+	}
+	return &path.Priority
+}
+
 // stallTimeout returns how long an endpoint may send nothing. A request that cannot be
 // retried gains nothing from failing early, so it gets its whole timeout.
 func stallTimeout(path declaration.Path) time.Duration {
--- a/fleet/request/admission/path_test.go
+++ b/fleet/request/admission/path_test.go
@@ -99,3 +99,18 @@
 		t.Errorf("requests to desk: got %d, want %d", got, want)
 	}
 }
+
+// The priority of a team goes before that of the path. Requests that must be answered first
+// are not recognized by endpoints otherwise.
+func TestPriorityIsThatOfTheTeamOrThePath(t *testing.T) {
+	urgent := 0
+	set := testConfig().Set
+	set.Teams = append(set.Teams, declaration.Team{Name: "urgent", KeyDigests: []string{snapshot.KeyDigest("urgent-key")}, Priority: &urgent})
+	set.Paths[0].Priority = 2
+	for key, want := range map[string]int{"urgent-key": 0, "hall-key": 2} {
+		plan, err := admission.Path(snapshot.New(1, set), admission.PathRequest{Host: "a.example", Path: "/draft/7", Key: key})
+		if err != nil || plan.Priority == nil || *plan.Priority != want {
+			t.Errorf("priority with %s: got %v and %v, want %d", key, plan.Priority, err, want)
+		}
+	}
+}
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -195,6 +195,7 @@
 		Attempt:  job.Attempt,
 		Endpoint: chosen.VM.Name,
 		Team:     job.Plan.Team.Name,
+		Priority: job.Plan.Priority,
 	}
 	if job.Attempt == "" {
 		call.Attempt.Attempt = ident.NewAttempt()
--- a/fleet/version/declaration/declaration.go
+++ b/fleet/version/declaration/declaration.go
@@ -36,6 +36,8 @@
 	// Weight is the share of the team in a weighted fair queue, relative to the weights of
 	// the other teams.
 	Weight int `json:"weight"`
+	// Priority replaces the priority of the paths that the team uses, unless it is nil.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Budget is a prepaid amount of credits, the unit of all prices. Its teams pay for their
