--- a/fleet/version/declaration/declaration.go
+++ b/fleet/version/declaration/declaration.go
@@ -39,6 +39,8 @@
 	// Regions are the home regions of the team's requests. If it is empty, the team binds
 	// them to none.
 	Regions []string `json:"regions,omitempty"`
+	// Priority replaces the priority of the paths that the team uses, unless it is nil.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Budget is a prepaid amount of credits, the unit of all prices. Its teams pay for their
