quota, node: Log why requests were refused for lack of credits

Cause: a refusal budget_exhausted said nothing of where the credits were, so that a refusal with credits left elsewhere looked like a used-up budget. Change: event 4008, once after each search: own balance, reserved and unacknowledged credits, the newest known remainder and its age, what the store said, and the peers that were asked with their replies.

--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -47,6 +47,7 @@
 	AccountRecordClosed = Kind{4004, "own account record was closed by a peer", logrus.WarnLevel}
 	QuotaWrittenOff     = Kind{4005, "rights of a lost process written off", logrus.WarnLevel}
 	QuotaGranted        = Kind{4006, "rights drawn", logrus.InfoLevel}
+	CreditsRefused      = Kind{4008, "requests refused for lack of credits", logrus.WarnLevel}
 	LayoutFailed        = Kind{4007, "layout of the accounts not read", logrus.WarnLevel}
 	JournalFailed       = Kind{5001, "journal segment not written", logrus.WarnLevel}
 	JournalRecovered    = Kind{5002, "journal of a lost process stored", logrus.InfoLevel}
@@ -74,7 +75,7 @@
 		Reloaded, ReloadRefused, LibraryMessage,
 		GenerationActivated, GenerationFailed,
 		PlatformUnavailable, PlatformAvailable, PlatformSilent,
-		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed,
+		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed, CreditsRefused,
 		JournalFailed, JournalRecovered, JournalFull,
 		PeerUp, PeerDown,
 		EndpointEjected, EndpointLeaving, FrameDropped, PartQuarantined, PartReleased,
--- a/fleet/process/quota/allocation.go
+++ b/fleet/process/quota/allocation.go
@@ -53,8 +53,10 @@
 	StoreDone bool `json:"store_done"`
 	// RequestedAt holds when each peer was sent a TransferRequest.
 	RequestedAt map[ident.Incarnation]time.Time `json:"asked"`
-	// Replied holds the peers that replied.
-	Replied map[ident.Incarnation]bool `json:"answered"`
+	// Replied holds the credits that each peer sent which replied.
+	Replied map[ident.Incarnation]int64 `json:"answered"`
+	// Store is what the search learned from the store.
+	Store StoreOutcome `json:"store"`
 }
 
 // Allocation is the state of one budget at one holder. Only the control thread uses
@@ -124,6 +126,14 @@
 	MeanRequest float64 `json:"size"`
 	Demand      Demand  `json:"demand"`
 	Search      Search  `json:"round"`
+	// LastSearch is the last search that found too little.
+	LastSearch Search `json:"last_round"`
+	// Refusals counts the refused requests.
+	Refusals int `json:"refusals"`
+	// ExplainedSearches and ExplainedRefusals are Searches and Refusals at the last
+	// Refusal.
+	ExplainedSearches int `json:"told_searches"`
+	ExplainedRefusals int `json:"told_refusals"`
 	// OtherHolders lists the other open holders of the account, by the granted total in
 	// descending order.
 	OtherHolders []ident.Incarnation                 `json:"others"`
--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -151,8 +151,9 @@
 		allocation.Search.StartedAt = now
 		allocation.Searches++
 		allocation.observeRequest(need)
+		allocation.Search.Store = StoreNotAsked
 		allocation.Search.RequestedAt = make(map[ident.Incarnation]time.Time)
-		allocation.Search.Replied = make(map[ident.Incarnation]bool)
+		allocation.Search.Replied = make(map[ident.Incarnation]int64)
 	}
 	allocation.Search.Need = need
 	return m.search(allocation, now)
@@ -164,11 +165,6 @@
 	return m.Allocation(budget).Search.Need > 0
 }
 
-// AddRefused adds the credits of a refused request to the demand.
-func (m *Manager[S]) AddRefused(budget string, need int64) {
-	m.Allocation(budget).RefusedCredits += need
-}
-
 // HandleAccount applies the account as it is in the store, after an update that took
 // effect, an update that was not needed, or a read. The view must be of a page no
 // older than any page passed before.
@@ -191,7 +187,7 @@
 	if allocation.RecordClosed {
 		allocation.RefundStored = allocation.Refunded
 	}
-	allocation.Search.handleStoreReply(view.Remaining)
+	allocation.Search.handleStoreReply(view.Remaining, StoreEmpty)
 	actions := m.sendPending(allocation, now)
 	actions.Add(m.search(allocation, now))
 	return actions
@@ -216,7 +212,7 @@
 	allocation.UpdatePending = false
 	allocation.StoreRetryAt = now.Add(backoff(MinStoreBackoff, MaxStoreBackoff, allocation.StoreFailures))
 	allocation.StoreFailures++
-	allocation.Search.handleStoreReply(0)
+	allocation.Search.handleStoreReply(0, StoreFailed)
 	return m.search(allocation, now)
 }
 
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -36,6 +36,10 @@
 		search.StoreRequested = true
 		grant := m.requestGrant(allocation, now)
 		search.StoreDone = allocation.StoreUnavailable || !allocation.UpdatePending
+		search.Store = StoreAsked
+		if search.StoreDone {
+			search.Store = StoreBackingOff
+		}
 		actions.Add(grant)
 	}
 	if !search.StoreDone {
@@ -51,19 +55,22 @@
 
 // handleStoreReply handles the end of a grant request, after which the account has the
 // remaining credits, or zero if the store call failed. The search is finished with the
-// store if none remain, and requests another grant otherwise. It does nothing for a
+// store, with the outcome, if none remain, and requests another grant otherwise. It does nothing for a
 // search that has not requested a grant.
-func (s *Search) handleStoreReply(remaining int64) {
+func (s *Search) handleStoreReply(remaining int64, outcome StoreOutcome) {
 	if !s.StoreRequested {
 		return
 	}
+	if remaining == 0 {
+		s.Store = outcome
+	}
 	s.StoreDone = remaining == 0
 	s.StoreRequested = s.StoreDone
 }
 
 // endSearch ends a search that found too little and starts the back-off.
 func (m *Manager[S]) endSearch(allocation *Allocation, now time.Time) {
-	allocation.Search = Search{}
+	allocation.LastSearch, allocation.Search = allocation.Search, Search{}
 	allocation.SearchRetryAt = now.Add(backoff(MinSearchBackoff, MaxSearchBackoff, allocation.FailedSearches))
 	allocation.FailedSearches++
 }
@@ -160,7 +167,8 @@
 // awaitsReply reports whether one of the peers may still reply before the timeout.
 func (s *Search) awaitsReply(peers []ident.Incarnation, now time.Time) bool {
 	return slices.ContainsFunc(peers, func(peer ident.Incarnation) bool {
-		return !s.Replied[peer] && now.Sub(s.RequestedAt[peer]) < TransferRequestTimeout
+		_, replied := s.Replied[peer]
+		return !replied && now.Sub(s.RequestedAt[peer]) < TransferRequestTimeout
 	})
 }
 
--- a/fleet/process/quota/transfer.go
+++ b/fleet/process/quota/transfer.go
@@ -16,14 +16,15 @@
 	}
 	allocation := m.Allocation(message.Budget)
 	transfers := allocation.Transfers[message.From]
-	if gain := message.Total - transfers.ReceivedTotal; gain > 0 {
+	gain := max(0, message.Total-transfers.ReceivedTotal)
+	if gain > 0 {
 		transfers.ReceivedTotal = message.Total
 		allocation.Balance.Add(gain)
 		allocation.resetSearchBackoff()
 		allocation.Transfers[message.From] = transfers
 	}
 	if allocation.Search.Need > 0 {
-		allocation.Search.Replied[message.From] = true
+		allocation.Search.Replied[message.From] += gain
 	}
 	var actions Actions
 	if message.Total > 0 {
--- a/router/process/node/quota.go
+++ b/router/process/node/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"jacinthpaddle.example/fleet/process/account"
@@ -128,7 +129,7 @@
 			continue
 		}
 		state.waiters[m.Budget] = append(waiting[:index], waiting[index+1:]...)
-		state.Quota.AddRefused(m.Budget, waiter.Amount)
+		state.recordRefusal(m.Budget, waiter.Amount)
 		waiter.Reply <- false
 		state.serveWaiters(m.Budget)
 		return
@@ -147,12 +148,29 @@
 	}
 	s.reserveForWaiters(budget)
 	for _, refused := range s.waiters[budget] {
-		s.Quota.AddRefused(budget, refused.Amount)
+		s.recordRefusal(budget, refused.Amount)
 		refused.Reply <- false
 	}
 	delete(s.waiters, budget)
 }
 
+// recordRefusal adds a refused request to the demand and logs the reasons for the first one
+// after each search.
+func (s *State) recordRefusal(budget string, amount int64) {
+	s.Quota.AddRefused(budget, amount)
+	refusal, ok := s.Quota.Explain(budget, s.Clock.Now())
+	if !ok {
+		return
+	}
+	s.Log.Emit(event.CreditsRefused, event.String("budget", budget), event.Int("refused", refusal.Count),
+		event.Int("need", refusal.Need), event.Int("held", refusal.Level.Available),
+		event.Int("reserved", refusal.Level.Reserved), event.Int("spent", refusal.Level.Spent),
+		event.Int("unacknowledged", refusal.Unacknowledged), event.Int("remaining", refusal.Remaining),
+		event.Int("remaining_age_ms", refusal.Age.Milliseconds()), event.Int("lost", refusal.Lost),
+		event.Bool("supplied", refusal.Supplied), event.String("store", refusal.Store),
+		event.String("peers", strings.Join(refusal.Peers, " ")))
+}
+
 // reserveForWaiters reserves the available credits for waiting requests. A request for
 // more than is available is skipped and keeps its place in the queue.
 func (s *State) reserveForWaiters(budget string) {
