--- a/fleet/process/quota/allocation.go
+++ b/fleet/process/quota/allocation.go
@@ -26,15 +26,31 @@
 	ReceivedTotal int64 `json:"received"`
 	// Pending is how many credits to send once balance and ceiling allow it.
 	Pending int64 `json:"owed"`
+	// PendingReserve is how many credits to send for the reserve of the peer once a grant
+	// covers them.
+	PendingReserve int64 `json:"owed_reserve"`
 	// SentAt is the time at which the last transfer was sent.
 	SentAt time.Time `json:"sent"`
+	// Reserve is the unspent part of the credits sent for the reserve of the peer, as far
+	// as this holder knows. Demand is the demand that the peer reported at ReportedAt.
+	Reserve    int64     `json:"reserve"`
+	Demand     float64   `json:"demand"`
+	ReportedAt time.Time `json:"reported"`
 }
 
 // SteadyDemandTime is the time within which the demand of a holder must use the credits
 // of MinRequests requests of mean size to count as steady. Holders with steady demand
-// request grants themselves instead of refilling at a supplier.
+// keep a reserve.
 const SteadyDemandTime = 10 * time.Second
 
+// StoreAvailableAge is the age of an AccountSummary up to which the store counts as
+// available, so that a back-off after failed calls ends.
+const StoreAvailableAge = 500 * time.Millisecond
+
+// ReportLifetime is how long the demand that a peer reported counts as demand of its
+// supplier.
+const ReportLifetime = 15 * time.Second
+
 // MeanRequestWeight is the weight of the latest request in the moving average
 // MeanRequest.
 const MeanRequestWeight = 0.2
@@ -51,6 +67,8 @@
 	// StoreDone reports that the search is finished with the store: the account had no
 	// credits left, the call failed, or no grant could be requested.
 	StoreDone bool `json:"store_done"`
+	// StoreRequestedAt is the time of the first grant request of the search.
+	StoreRequestedAt time.Time `json:"store_asked_at"`
 	// RequestedAt holds when each peer was sent a TransferRequest.
 	RequestedAt map[ident.Incarnation]time.Time `json:"asked"`
 	// Replied holds the credits that each peer sent which replied.
@@ -112,6 +130,8 @@
 	StoreRetryAt time.Time `json:"retry_at"`
 	// SearchRetryAt is the end of the back-off after searches that found too little.
 	SearchRetryAt time.Time `json:"dry_until"`
+	// BackingOff reports that the last request came during the search back-off.
+	BackingOff bool `json:"backing_off"`
 	// Searches counts all searches.
 	Searches int `json:"searches"`
 	// FailedSearches counts the searches in a row that found too little.
@@ -126,6 +146,8 @@
 	MeanRequest float64 `json:"size"`
 	Demand      Demand  `json:"demand"`
 	Search      Search  `json:"round"`
+	// ReportedAt is the time of the last report to the supplier.
+	ReportedAt time.Time `json:"reported"`
 	// LastSearch is the last search that found too little.
 	LastSearch Search `json:"last_round"`
 	// Refusals counts the refused requests.
@@ -205,11 +227,11 @@
 }
 
 // used returns the credits that left this holder for good: those spent and sent to peers,
-// less those received from them.
+// less those received from them and those that peers keep ready.
 func (a *Allocation) used() int64 {
 	used := a.Balance.Level().Spent
 	for _, transfers := range a.Transfers {
-		used += transfers.SentTotal - transfers.ReceivedTotal
+		used += transfers.SentTotal - transfers.ReceivedTotal - transfers.Reserve
 	}
 	return used
 }
@@ -273,8 +295,51 @@
 	})
 }
 
-// hasSteadyDemand reports whether the demand of this holder is high enough for it to
-// request grants itself instead of refilling at a supplier.
+// applySummary stores what the supplier knows of the account, unless this holder knows it
+// from a later read.
+func (a *Allocation) applySummary(summary AccountSummary, now time.Time) {
+	if summary.Age < StoreAvailableAge {
+		a.StoreFailures, a.StoreRetryAt, a.StoreUnavailable = 0, time.Time{}, false
+	}
+	readAt := now.Add(-summary.Age)
+	if readAt.Before(a.ReadAt) {
+		return
+	}
+	a.Remaining = summary.Remaining
+	a.ReadAt = readAt
+	a.OtherDemand = max(0, summary.Demand-a.Demand.Rate)
+	a.SpendingHolders = summary.SpendingHolders
+	a.Lost = summary.Lost
+}
+
+// summary returns what this holder knows of the account, or nil if it has not read it.
+func (a *Allocation) summary(now time.Time) *AccountSummary {
+	if a.unread() {
+		return nil
+	}
+	return &AccountSummary{
+		Age:             now.Sub(a.ReadAt),
+		Remaining:       a.Remaining,
+		Demand:          a.OtherDemand + a.suppliedDemand(now),
+		SpendingHolders: a.SpendingHolders,
+		Lost:            a.Lost,
+	}
+}
+
+// suppliedDemand returns the demand of this holder and of the peers that keep a reserve
+// from it, in credits a second.
+func (a *Allocation) suppliedDemand(now time.Time) float64 {
+	demand := a.Demand.Rate
+	for _, transfers := range a.Transfers {
+		if now.Sub(transfers.ReportedAt) < ReportLifetime {
+			demand += transfers.Demand
+		}
+	}
+	return demand
+}
+
+// hasSteadyDemand reports whether the demand of this holder is high enough for it to keep
+// a reserve.
 func (a *Allocation) hasSteadyDemand() bool {
 	return a.MeanRequest > 0 && a.Demand.Rate*SteadyDemandTime.Seconds() >= MinRequests*a.MeanRequest
 }
--- a/fleet/process/quota/home.go
+++ b/fleet/process/quota/home.go
@@ -1,12 +1,6 @@
 package quota
 
-import (
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
-	"jacinthpaddle.example/fleet/process/ident"
-)
+import "jacinthpaddle.example/fleet/process/ident"
 
 // concentrated reports whether the budget has a home: the share of a direct holder would
 // be too small for MinRequests requests, so that nearly each request would need a grant
@@ -23,14 +17,7 @@
 // highest hash together with the budget, so that all processes agree on it and the others
 // keep their homes when one leaves. It returns false if none is reachable.
 func (m *Manager[S]) home(budget string) (ident.Incarnation, bool) {
-	var chosen ident.Incarnation
-	var highest uint64
-	for _, candidate := range m.reachableHomes {
-		if hash := xxhash.Sum64String(budget + "/" + string(candidate)); chosen == "" || hash > highest {
-			chosen, highest = candidate, hash
-		}
-	}
-	return chosen, chosen != ""
+	return highestHash(budget, m.reachableHomes)
 }
 
 // meanRequest returns the size of requests for which a holder of a large fleet keeps room.
@@ -41,13 +28,3 @@
 	}
 	return allocation.MeanRequest
 }
-
-// updateReachableHomes derives reachableHomes from the homes and the peers.
-func (m *Manager[S]) updateReachableHomes() {
-	m.reachableHomes = nil
-	for _, candidate := range m.Supply.Homes {
-		if candidate == m.Self || slices.Contains(m.Peers, candidate) {
-			m.reachableHomes = append(m.reachableHomes, candidate)
-		}
-	}
-}
--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -22,7 +22,9 @@
 	MinStoreBackoff = time.Second
 	MaxStoreBackoff = 16 * time.Second
 	// TransferRequestTimeout is how long a search waits for the reply of one peer.
-	TransferRequestTimeout = 500 * time.Millisecond
+	TransferRequestTimeout = 250 * time.Millisecond
+	// StoreHeadStart is how long a search waits for the store before it also queries peers.
+	StoreHeadStart = 200 * time.Millisecond
 	// EmptyAccountDelay is how long no grant is requested from an account that was
 	// read as empty.
 	EmptyAccountDelay = time.Second
@@ -62,8 +64,11 @@
 	Peers       []ident.Incarnation
 	Supply      Supply
 	Allocations map[string]*Allocation
-	// reachableHomes has the reachable processes of Supply.Homes.
-	reachableHomes []ident.Incarnation
+	// reachableSuppliers and reachableHomes have the processes of Supply that are reachable.
+	reachableSuppliers []ident.Incarnation
+	reachableHomes     []ident.Incarnation
+	// silent has the suppliers that did not reply to a search, until when they are avoided.
+	silent map[ident.Incarnation]time.Time
 }
 
 // New returns a manager without quota.
@@ -74,6 +79,7 @@
 		Sizing:      sizing,
 		Balances:    balances,
 		Allocations: make(map[string]*Allocation),
+		silent:      make(map[ident.Incarnation]time.Time),
 	}
 }
 
@@ -91,32 +97,7 @@
 // and as witnesses.
 func (m *Manager[S]) SetPeers(peers []ident.Incarnation) {
 	m.Peers = slices.Clone(peers)
-	m.updateReachableHomes()
-}
-
-// Supply determines which processes of a large fleet request grants from the store and
-// transfer credits to the others, so that most processes do not call the store.
-type Supply struct {
-	// Suppliers lists the processes from which this holder refills. It is a direct
-	// holder, which requests grants itself, if there are none. Otherwise it requests
-	// grants only for budgets with steady demand and for waiting requests that the
-	// suppliers do not serve.
-	Suppliers []ident.Incarnation
-	// Supplies reports that other holders refill here. Their demand counts as demand
-	// of this holder.
-	Supplies bool
-	// DirectHolders is the number of direct holders of the fleet, suppliers included.
-	// They share what remains of a budget.
-	DirectHolders int
-	// Homes lists the direct holders of a large fleet. Each may be the home of a budget:
-	// the only supplier of a budget that is too small to be shared.
-	Homes []ident.Incarnation
-}
-
-// SetSupply sets from whom this holder refills and whether it supplies others.
-func (m *Manager[S]) SetSupply(supply Supply) {
-	m.Supply = supply
-	m.updateReachableHomes()
+	m.updateReachable()
 }
 
 // SetPurchased sets the total purchased in the active configuration. It is called
@@ -143,7 +124,8 @@
 // search is started.
 func (m *Manager[S]) Request(budget string, need int64, now time.Time) Actions {
 	allocation := m.Allocation(budget)
-	if need == 0 || now.Before(allocation.SearchRetryAt) {
+	allocation.BackingOff = now.Before(allocation.SearchRetryAt)
+	if need == 0 || allocation.BackingOff {
 		allocation.Search = Search{}
 		return Actions{}
 	}
@@ -189,6 +171,12 @@
 	}
 	allocation.Search.handleStoreReply(view.Remaining, StoreEmpty)
 	actions := m.sendPending(allocation, now)
+	if view.Remaining == 0 {
+		actions.Add(m.answerPending(allocation, now))
+	}
+	if m.Supply.Supplies && allocation.pendingTransfers()+allocation.pendingReserves() > 0 {
+		actions.Add(m.requestGrant(allocation, now))
+	}
 	actions.Add(m.search(allocation, now))
 	return actions
 }
@@ -213,7 +201,10 @@
 	allocation.StoreRetryAt = now.Add(backoff(MinStoreBackoff, MaxStoreBackoff, allocation.StoreFailures))
 	allocation.StoreFailures++
 	allocation.Search.handleStoreReply(0, StoreFailed)
-	return m.search(allocation, now)
+	actions := m.sendPending(allocation, now)
+	actions.Add(m.answerPending(allocation, now))
+	actions.Add(m.search(allocation, now))
+	return actions
 }
 
 // HandleStoreRecovery ends all back-offs once the store is available again.
@@ -230,6 +221,7 @@
 // sends unacknowledged messages again. It is called about once a second.
 func (m *Manager[S]) Tick(now time.Time) Actions {
 	var actions Actions
+	maps.DeleteFunc(m.silent, func(_ ident.Incarnation, until time.Time) bool { return !now.Before(until) })
 	budgets := slices.Sorted(maps.Keys(m.Allocations))
 	batched := false
 	for _, budget := range budgets {
@@ -260,9 +252,7 @@
 func (m *Manager[S]) demandTotal(allocation *Allocation) int64 {
 	total := allocation.Balance.Level().Spent + allocation.RefusedCredits
 	if m.Supply.Supplies {
-		for _, transfers := range allocation.Transfers {
-			total += transfers.SentTotal
-		}
+		total += allocation.usedByPeers()
 	}
 	return total
 }
--- a/fleet/process/quota/message.go
+++ b/fleet/process/quota/message.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"time"
+
 	"jacinthpaddle.example/fleet/process/account"
 	"jacinthpaddle.example/fleet/process/ident"
 )
@@ -14,6 +16,23 @@
 	// Total is the sum of all credits that From ever sent to To in this budget, so
 	// that loss, repetition and reordering of messages are harmless.
 	Total int64 `cbor:"total"`
+	// Account is what the sender knows of the account, so that the receiver need not read
+	// it. It is nil if the sender has not read the account.
+	Account *AccountSummary `cbor:"account,omitempty"`
+}
+
+// AccountSummary is what a holder knows of the account of a budget.
+type AccountSummary struct {
+	// Remaining is what the account had left to grant.
+	Remaining int64 `cbor:"remaining"`
+	// Age is how long before the message the account was read.
+	Age time.Duration `cbor:"age"`
+	// Demand is the demand of all holders in credits a second.
+	Demand float64 `cbor:"demand"`
+	// SpendingHolders is the number of holders with any demand.
+	SpendingHolders int `cbor:"spending"`
+	// Lost is how many credits were written off with failed holders.
+	Lost int64 `cbor:"lost"`
 }
 
 // TransferAck acknowledges a Transfer.
@@ -39,6 +58,15 @@
 	ShareLimit int64 `cbor:"want"`
 	// Demand is the demand of the sender in credits a second.
 	Demand float64 `cbor:"demand"`
+	// Reserve is how many credits the sender, which refills at the receiver, lacks of
+	// those that it keeps ready.
+	Reserve int64 `cbor:"reserve"`
+	// Held is how many unspent credits the sender has. It is zero for a sender that keeps
+	// none ready.
+	Held int64 `cbor:"held"`
+	// HeldOnly asks for credits that the receiver holds. Otherwise the receiver is the
+	// supplier of the sender and requests a grant for those that it lacks.
+	HeldOnly bool `cbor:"held_only"`
 }
 
 // CeilingRequest requests a witness to acknowledge a higher ceiling of the holder.
--- a/fleet/process/quota/refusal.go
+++ b/fleet/process/quota/refusal.go
@@ -43,11 +43,14 @@
 	Peers []string
 }
 
-// AddRefused adds the credits of a refused request to the demand.
+// AddRefused adds the credits of a refused request to the demand, unless it was refused
+// during the search back-off: such requests return at once and would count many times.
 func (m *Manager[S]) AddRefused(budget string, need int64) {
 	allocation := m.Allocation(budget)
-	allocation.RefusedCredits += need
 	allocation.Refusals++
+	if !allocation.BackingOff {
+		allocation.RefusedCredits += need
+	}
 }
 
 // Explain returns why requests of the budget were refused, once after each search, and
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -4,16 +4,14 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jacinthpaddle.example/fleet/process/account"
 	"jacinthpaddle.example/fleet/process/ident"
 )
 
 // search continues the search for the waiting requests: it requests a higher ceiling,
 // then credits from the supplier of a supplied allocation, then a grant from the store,
-// then credits from peers. It does nothing while the balance covers the need. While the
-// available and unacknowledged credits together cover it, only the ceiling is requested,
+// then credits from peers, at the latest StoreHeadStart after the store. It does nothing
+// while the balance covers the need. While the available and unacknowledged credits together cover it, only the ceiling is requested,
 // for TransferRequestTimeout from the start of the search. The search ends once the
 // store, and the peers if the sizing policy allows transfers, have supplied too few
 // credits.
@@ -31,9 +29,16 @@
 		if search.awaitsReply([]ident.Incarnation{supplier}, now) {
 			return actions
 		}
+		if next, ok := m.avoidSilent(allocation, supplier, now); ok {
+			actions.Add(m.requestFrom(allocation, next, search.Need-allocation.Balance.Level().Available, now))
+			return actions
+		}
 	}
 	if !search.StoreRequested {
 		search.StoreRequested = true
+		if search.StoreRequestedAt.IsZero() {
+			search.StoreRequestedAt = now
+		}
 		grant := m.requestGrant(allocation, now)
 		search.StoreDone = allocation.StoreUnavailable || !allocation.UpdatePending
 		search.Store = StoreAsked
@@ -42,17 +47,34 @@
 		}
 		actions.Add(grant)
 	}
-	if !search.StoreDone {
+	if !search.StoreDone && now.Sub(search.StoreRequestedAt) < StoreHeadStart {
 		return actions
 	}
 	if !m.Sizing.AllowsTransfers() {
-		m.endSearch(allocation, now)
+		if search.StoreDone {
+			m.endSearch(allocation, now)
+		}
 		return actions
 	}
 	actions.Add(m.requestFromPeers(allocation, now))
 	return actions
 }
 
+// avoidSilent marks a supplier that did not reply to the search as silent. It returns the
+// next supplier, if there is one that the search has not queried.
+func (m *Manager[S]) avoidSilent(allocation *Allocation, supplier ident.Incarnation, now time.Time) (ident.Incarnation, bool) {
+	if _, replied := allocation.Search.Replied[supplier]; replied {
+		return "", false
+	}
+	m.silent[supplier] = now.Add(SilenceDuration)
+	next, ok := m.supplierOf(allocation)
+	if !ok {
+		return "", false
+	}
+	_, queried := allocation.Search.RequestedAt[next]
+	return next, !queried
+}
+
 // handleStoreReply handles the end of a grant request, after which the account has the
 // remaining credits, or zero if the store call failed. The search is finished with the
 // store, with the outcome, if none remain, and requests another grant otherwise. It does nothing for a
@@ -68,6 +90,19 @@
 	s.StoreRequested = s.StoreDone
 }
 
+// handleReply records the credits that a peer sent. A supplier that sent some is asked
+// again for what is still lacking.
+func (s *Search) handleReply(peer ident.Incarnation, gain int64, supplier bool) {
+	if s.Need == 0 {
+		return
+	}
+	s.Replied[peer] += gain
+	if supplier && gain > 0 {
+		delete(s.RequestedAt, peer)
+		delete(s.Replied, peer)
+	}
+}
+
 // endSearch ends a search that found too little and starts the back-off.
 func (m *Manager[S]) endSearch(allocation *Allocation, now time.Time) {
 	allocation.LastSearch, allocation.Search = allocation.Search, Search{}
@@ -91,7 +126,7 @@
 		if search.awaitsReply(queried, now) {
 			return actions
 		}
-		if wave > 0 {
+		if wave > 0 && search.StoreDone {
 			m.endSearch(allocation, now)
 		}
 	}
@@ -104,62 +139,29 @@
 		return Actions{}
 	}
 	allocation.Search.RequestedAt[peer] = now
-	return Actions{TransferRequests: []TransferRequest{{
+	request := TransferRequest{
 		Budget:     allocation.Budget,
 		From:       m.Self,
 		To:         peer,
 		Need:       need,
 		ShareLimit: m.Sizing.Exposure(m.sizing(allocation)),
 		Demand:     allocation.Demand.Rate,
-	}}}
-}
-
-// supplierOf returns the peer from which the allocation is refilled. It returns false
-// for a direct allocation and if no supplier is reachable.
-func (m *Manager[S]) supplierOf(allocation *Allocation) (ident.Incarnation, bool) {
-	if !m.supplied(allocation) {
-		return "", false
-	}
-	if m.concentrated(allocation) {
-		return m.home(allocation.Budget)
-	}
-	return m.supplier()
-}
-
-// supplied reports whether the allocation refills at a supplier, reachable or not: the
-// holder has suppliers and no steady demand for the budget. A supplied allocation
-// requests grants only for waiting requests: in a partition all holders of a large fleet
-// would otherwise request their shares at the same time.
-func (m *Manager[S]) supplied(allocation *Allocation) bool {
-	if m.concentrated(allocation) {
-		home, ok := m.home(allocation.Budget)
-		return ok && home != m.Self
 	}
-	return len(m.Supply.Suppliers) > 0 && !allocation.hasSteadyDemand()
-}
-
-// supplier returns the peer from which this holder refills. The holders of one
-// availability zone are spread over its suppliers by a hash.
-func (m *Manager[S]) supplier() (ident.Incarnation, bool) {
-	var reachable []ident.Incarnation
-	for _, peer := range m.Supply.Suppliers {
-		if slices.Contains(m.Peers, peer) {
-			reachable = append(reachable, peer)
-		}
+	supplier, ok := m.supplierOf(allocation)
+	if len(m.Supply.Suppliers) > 0 && !(ok && peer == supplier) {
+		// Each of the peers would otherwise send a share, or request a grant for it.
+		request.ShareLimit, request.HeldOnly = 0, true
 	}
-	if len(reachable) == 0 {
-		return "", false
-	}
-	return reachable[xxhash.Sum64String(string(m.Self))%uint64(len(reachable))], true
+	return Actions{TransferRequests: []TransferRequest{request}}
 }
 
 // refill requests a grant up to the amount of the sizing policy. A supplied allocation
-// keeps no reserve, since the reserves of all holders with occasional requests would
-// leave too few credits for the other holders. For it, refill calls the store only to
-// find out the outcome of an earlier update.
+// refills at its supplier, and not at all with occasional requests: the reserves of all
+// such holders would leave too few credits for the others. For it, refill calls the store
+// only to find out the outcome of an earlier update.
 func (m *Manager[S]) refill(allocation *Allocation, now time.Time) Actions {
 	if m.supplied(allocation) && !allocation.OutcomeUnknown {
-		return Actions{}
+		return m.refillFromSupplier(allocation, now)
 	}
 	return m.requestGrant(allocation, now)
 }
@@ -173,16 +175,16 @@
 }
 
 // candidates returns the reachable peers that may hold credits, the nearest first: the
-// open holders of the account and the peers of earlier transfers. Before the account
+// open holders of the account, the suppliers and the peers of earlier transfers. Before the account
 // was read all peers may hold credits.
 func (m *Manager[S]) candidates(allocation *Allocation) []ident.Incarnation {
-	if allocation.unread() && len(allocation.OtherHolders) == 0 {
+	if allocation.unread() && len(allocation.OtherHolders)+len(m.Supply.Homes) == 0 {
 		return m.Peers
 	}
 	var candidates []ident.Incarnation
 	for _, peer := range m.Peers {
 		transfers := allocation.Transfers[peer]
-		if slices.Contains(allocation.OtherHolders, peer) || transfers.SentTotal > 0 || transfers.ReceivedTotal > 0 {
+		if slices.Contains(allocation.OtherHolders, peer) || slices.Contains(m.Supply.Homes, peer) || transfers.SentTotal > 0 || transfers.ReceivedTotal > 0 {
 			candidates = append(candidates, peer)
 		}
 	}
@@ -211,6 +213,10 @@
 		return Actions{}
 	}
 	amount := m.grantAmount(allocation, now)
+	reserves := allocation.pendingReserves()
+	if allocation.Remaining > 0 && !allocation.unread() {
+		amount += reserves
+	}
 	if amount == 0 && !allocation.hasUnrecordedSet() && !allocation.OutcomeUnknown {
 		return Actions{}
 	}
@@ -218,9 +224,21 @@
 		m.maintainWitnesses(allocation)
 	}
 	allocation.UpdatePending = true
+	return Actions{GrantRequests: []account.GrantRequest{m.grantRequest(allocation, amount, now)}}
+}
+
+// Refresh returns a grant request that was not sent yet with the amounts that are needed
+// now, if they are more.
+func (m *Manager[S]) Refresh(request account.GrantRequest, now time.Time) account.GrantRequest {
+	allocation := m.Allocation(request.Budget)
+	amount := max(m.grantAmount(allocation, now)+allocation.pendingReserves(), request.Target-request.KnownGranted)
+	return m.grantRequest(allocation, amount, now)
+}
+
+func (m *Manager[S]) grantRequest(allocation *Allocation, amount int64, now time.Time) account.GrantRequest {
 	latest := allocation.latestWitnesses()
 	input := m.sizing(allocation)
-	return Actions{GrantRequests: []account.GrantRequest{{
+	return account.GrantRequest{
 		Budget:       allocation.Budget,
 		Holder:       m.Self,
 		VM:           m.VM,
@@ -228,13 +246,23 @@
 		KnownGranted: allocation.Granted,
 		Target:       allocation.Granted + amount,
 		Minimum:      m.neededCredits(allocation),
-		MaxFraction:  m.Sizing.MaxFraction(input),
+		MaxFraction:  m.maxFraction(input, allocation.pendingReserves()),
 		MaxUnused:    m.Sizing.MaxUnused(input),
-		Demand:       input.Demand,
+		Demand:       allocation.suppliedDemand(now),
 		Used:         allocation.used(),
 		Epoch:        latest.Epoch,
 		Witnesses:    latest.Witnesses,
-	}}}
+	}
+}
+
+// maxFraction returns the largest fraction of what the account has left that a grant may
+// take for this holder and the pending reserves of peers, or 0 for no bound.
+func (m *Manager[S]) maxFraction(input SizingInput, reserves int64) float64 {
+	fraction := m.Sizing.MaxFraction(input)
+	if fraction == 0 || reserves == 0 || input.Remaining <= 0 {
+		return fraction
+	}
+	return min(1, fraction+float64(reserves)/float64(input.Remaining))
 }
 
 // refund returns to the store the credits that the sizing policy reports as surplus. They
@@ -257,7 +285,7 @@
 		Budget: allocation.Budget,
 		Holder: m.Self,
 		Total:  allocation.Refunded,
-		Demand: allocation.Demand.Rate,
+		Demand: allocation.suppliedDemand(now),
 		Used:   allocation.used(),
 	}}}
 }
@@ -320,6 +348,24 @@
 	return allocation.Search.Need
 }
 
+// maxShare returns SizingInput.MaxShare. In a large fleet an even share is too small for a
+// holder that has much of the demand of a budget.
+func (m *Manager[S]) maxShare() float64 {
+	if len(m.Supply.Suppliers) == 0 {
+		return 0
+	}
+	return LargeFleetMaxShare
+}
+
+// demand returns the demand for which this holder keeps credits. In a large fleet it
+// follows an increase at once, since others draw on the same account page.
+func (m *Manager[S]) demand(allocation *Allocation) float64 {
+	if len(m.Supply.Suppliers) == 0 || m.Sizing.UsesWitnesses() {
+		return allocation.Demand.Rate
+	}
+	return max(allocation.Demand.Rate, allocation.Demand.Recent)
+}
+
 // sizing returns the input of the sizing policy.
 func (m *Manager[S]) sizing(allocation *Allocation) SizingInput {
 	return m.sizingInput(allocation, m.holderCount(allocation))
@@ -329,7 +375,7 @@
 // share the account.
 func (m *Manager[S]) sizingInput(allocation *Allocation, holders int) SizingInput {
 	return SizingInput{
-		Demand:      allocation.Demand.Rate,
+		Demand:      m.demand(allocation),
 		Observed:    allocation.Demand.UpdatedAt.Sub(allocation.Demand.StartedAt),
 		OtherDemand: allocation.OtherDemand,
 		Need:        m.neededCredits(allocation),
@@ -341,6 +387,8 @@
 		Unread:      allocation.unread(),
 		Lost:        allocation.Lost,
 		Holders:     holders,
+		MaxShare:    m.maxShare(),
+		Supplies:    m.Supply.Supplies,
 		Batched:     m.Batched,
 	}
 }
--- a/fleet/process/quota/sizing.go
+++ b/fleet/process/quota/sizing.go
@@ -35,6 +35,11 @@
 	Lost int64
 	// Holders is the number of processes that share what remains.
 	Holders int
+	// MaxShare is the part of what all holders keep that this one may keep for its demand,
+	// if that is more than the policy allows for the number of holders.
+	MaxShare float64
+	// Supplies reports that peers refill at this holder.
+	Supplies bool
 	// Batched reports that a grant for any budget is requested at the same time.
 	Batched bool
 }
--- a/fleet/process/quota/spread.go
+++ b/fleet/process/quota/spread.go
@@ -37,6 +37,10 @@
 // for each request.
 const MinHorizon = 500 * time.Millisecond
 
+// SupplierHorizon replaces MinHorizon at a supplier. It serves its peers from what it holds
+// between the updates of an account page, which exclude those of the other suppliers.
+const SupplierHorizon = 1500 * time.Millisecond
+
 // DemandSpread distributes a part of what remains of a budget over its holders before
 // it is needed, since a partition makes the store and the peers unavailable at the
 // same time and no credits can be obtained then. Credits that are held are lost if the
@@ -84,7 +88,7 @@
 	if input.Remaining <= 0 {
 		return d.Share * d.shareWeight(input)
 	}
-	share := max(d.share(input), input.Demand*MinHorizon.Seconds())
+	share := max(d.share(input), float64(minHeld(input)))
 	return share / float64(input.Remaining)
 }
 
@@ -125,7 +129,15 @@
 		int64(MinShareFraction*float64(share)),
 		int64(MinRequests*input.MeanRequest),
 	)
-	return max(min(share, wanted), creditsFor(input.Demand, MinHorizon))
+	return max(min(share, wanted), minHeld(input))
+}
+
+// minHeld returns how many credits a holder keeps even if its share is lower.
+func minHeld(input SizingInput) int64 {
+	if input.Supplies {
+		return creditsFor(input.Demand, SupplierHorizon)
+	}
+	return creditsFor(input.Demand, MinHorizon)
 }
 
 // share returns the most that this holder keeps of what remains.
@@ -156,5 +168,5 @@
 	}
 	warmup := min(1, input.Observed.Seconds()/DemandWarmup.Seconds())
 	demandWeight := warmup * (1 - EvenWeight)
-	return (1-demandWeight)*even + demandWeight*min(input.Demand/total, MaxEvenShares*even)
+	return (1-demandWeight)*even + demandWeight*min(input.Demand/total, max(MaxEvenShares*even, input.MaxShare))
 }
--- a/fleet/process/quota/transfer.go
+++ b/fleet/process/quota/transfer.go
@@ -19,13 +19,18 @@
 	gain := max(0, message.Total-transfers.ReceivedTotal)
 	if gain > 0 {
 		transfers.ReceivedTotal = message.Total
+		transfers.Reserve = max(0, transfers.Reserve-gain)
 		allocation.Balance.Add(gain)
 		allocation.resetSearchBackoff()
 		allocation.Transfers[message.From] = transfers
 	}
-	if allocation.Search.Need > 0 {
-		allocation.Search.Replied[message.From] += gain
+	delete(m.silent, message.From)
+	supplier, supplied := m.supplierOf(allocation)
+	fromSupplier := supplied && supplier == message.From
+	if fromSupplier && message.Account != nil {
+		allocation.applySummary(*message.Account, now)
 	}
+	allocation.Search.handleReply(message.From, gain, fromSupplier)
 	var actions Actions
 	if message.Total > 0 {
 		actions.TransferAcks = []TransferAck{{
@@ -59,28 +64,56 @@
 		return Actions{}
 	}
 	allocation := m.Allocation(message.Budget)
-	allocation.observeRequest(message.Need)
+	if message.Need > 0 {
+		allocation.observeRequest(message.Need)
+	}
 	amount := m.transferAmount(allocation, message)
 	taken := allocation.Balance.Take(amount)
 	transfers := allocation.Transfers[message.From]
 	transfers.Pending = min(amount-taken, allocation.Unacknowledged())
-	if m.Supply.Supplies {
+	supplies := m.Supply.Supplies && !message.HeldOnly
+	if supplies {
 		transfers.Pending = max(transfers.Pending, message.Need-taken)
 	}
 	allocation.Transfers[message.From] = transfers
+	if supplies && message.Need == 0 {
+		m.handleRefillRequest(allocation, message, now)
+	}
 	actions := m.requestCeiling(allocation, now)
-	if m.Supply.Supplies && transfers.Pending > 0 && !now.Before(allocation.SearchRetryAt) {
+	if supplies && allocation.Transfers[message.From].lacks() {
+		actions.Add(m.requestForPeer(allocation, now))
+	}
+	if taken > 0 || !allocation.Transfers[message.From].lacks() {
+		actions.Add(m.send(allocation, message.From, taken, now))
+	}
+	return actions
+}
+
+// requestForPeer requests a grant for pending transfers, and answers them at once if it
+// cannot.
+func (m *Manager[S]) requestForPeer(allocation *Allocation, now time.Time) Actions {
+	if !now.Before(allocation.SearchRetryAt) {
 		if allocation.Remaining == 0 {
 			allocation.SearchRetryAt = now.Add(MinSearchBackoff)
 		}
-		actions.Add(m.requestGrant(allocation, now))
+		actions := m.requestGrant(allocation, now)
+		if allocation.UpdatePending {
+			return actions
+		}
 	}
-	if taken > 0 || transfers.Pending == 0 {
-		actions.Add(m.send(allocation, message.From, taken, now))
+	if allocation.UpdatePending {
+		return Actions{}
 	}
+	actions := m.sendReserves(allocation, now)
+	actions.Add(m.answerPending(allocation, now))
 	return actions
 }
 
+// lacks reports whether credits are to be sent to the peer.
+func (p PeerTransfers) lacks() bool {
+	return p.Pending > 0 || p.PendingReserve > 0
+}
+
 // transferAmount returns how many of the credits held here to send to the requester: a
 // share in proportion to the demand of both, up to ShareLimit, or its need if that is
 // more. A holder with waiting requests keeps everything unless the requester needs
@@ -105,16 +138,20 @@
 	transfers.SentTotal += amount
 	transfers.SentAt = now
 	allocation.Transfers[peer] = transfers
-	return Actions{Transfers: []Transfer{m.newTransfer(allocation, peer)}}
+	return Actions{Transfers: []Transfer{m.newTransfer(allocation, peer, now)}}
 }
 
-func (m *Manager[S]) newTransfer(allocation *Allocation, peer ident.Incarnation) Transfer {
-	return Transfer{
+func (m *Manager[S]) newTransfer(allocation *Allocation, peer ident.Incarnation, now time.Time) Transfer {
+	transfer := Transfer{
 		Budget: allocation.Budget,
 		From:   m.Self,
 		To:     peer,
 		Total:  allocation.Transfers[peer].SentTotal,
 	}
+	if m.Supply.Supplies {
+		transfer.Account = allocation.summary(now)
+	}
+	return transfer
 }
 
 // sendPending sends the pending transfers as far as the balance exceeds the need of
@@ -133,6 +170,7 @@
 		allocation.Transfers[peer] = transfers
 		actions.Add(m.send(allocation, peer, sent, now))
 	}
+	actions.Add(m.sendReserves(allocation, now))
 	return actions
 }
 
@@ -156,7 +194,7 @@
 		}
 		transfers.SentAt = now
 		allocation.Transfers[peer] = transfers
-		actions.Transfers = append(actions.Transfers, m.newTransfer(allocation, peer))
+		actions.Transfers = append(actions.Transfers, m.newTransfer(allocation, peer, now))
 	}
 	return actions
 }
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -78,6 +78,10 @@
 	// WatchersPerZone is the number of processes of an availability zone that watch the
 	// store in a larger fleet.
 	WatchersPerZone = 2
+	// UpdateSpacing is, in a large fleet, the least time from the end of an update of an
+	// account page to the next one of this process. What its zone requests meanwhile is
+	// updated together, and the suppliers of other zones get their turn.
+	UpdateSpacing = 250 * time.Millisecond
 	// HoldersPerRefillInterval is the step in the number of processes that take grants
 	// from the store with which the interval between refills grows by QuotaInterval.
 	HoldersPerRefillInterval = 12
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -173,6 +173,10 @@
 	reachable := s.reachablePeers(members)
 	s.Quota.SetPeers(reachable)
 	s.Quota.SetSupply(s.supply(preferred, self, size))
+	s.drawers = s.Quota.Supply.DirectHolders
+	if s.isLargeFleet() {
+		s.drawers = len(preferred)
+	}
 	s.JournalBuffer.SetFlushInterval(scaledInterval(s.Settings.Journal.FlushInterval, size, RoutersPerFlushInterval))
 	s.JournalBuffer.SetPeers(s.Clock.Now(), s.replicaPeers(reachable))
 	s.applyJournalEffects()
--- a/router/process/node/quota.go
+++ b/router/process/node/quota.go
@@ -47,9 +47,9 @@
 }
 
 // refillQuota runs the periodic work of the quota manager. Its interval grows with the
-// number of processes that take grants from the store.
+// number of processes that take grants from the store for the same account page.
 func (s *State) refillQuota(now time.Time) {
-	interval := scaledInterval(QuotaInterval, s.Quota.Supply.DirectHolders, HoldersPerRefillInterval)
+	interval := scaledInterval(QuotaInterval, s.drawers, HoldersPerRefillInterval)
 	if !s.refilled.due(now, interval, s.isLargeFleet()) {
 		return
 	}
@@ -61,17 +61,17 @@
 // prefetchQuota adds an allocation of every budget before its first use, and reads its
 // account, so that the quota manager requests grants for it. It does so from PrefetchDelay
 // after the start, if there are at most MaxPrefetchedBudgets budgets, the sizing policy uses
-// no witnesses and this process has no supplier. Without a prefetch, a process that is
+// no witnesses and callers are directed to this process. Without a prefetch, a process that is
 // partitioned from the store before the first use of a budget has no credits for it.
 func (s *State) prefetchQuota(now time.Time) {
-	supplied := len(s.Quota.Supply.Suppliers) > 0
+	supplied := len(s.Quota.Supply.Suppliers) > 0 && !s.Quota.Supply.Supplies
 	budgets := s.Generation.Set.Budgets
 	if s.Quota.Sizing.UsesWitnesses() || supplied || len(budgets) > MaxPrefetchedBudgets || now.Sub(s.Started) < PrefetchDelay {
 		return
 	}
 	for _, budget := range budgets {
 		s.ensureAllocation(budget.Name)
-		if s.Quota.Unread(budget.Name) {
+		if s.Quota.Unread(budget.Name) && s.Quota.Draws(budget.Name) {
 			s.readAccount(budget.Name)
 		}
 	}
@@ -254,13 +254,21 @@
 	return page
 }
 
-// startUpdate starts the pending update of the page unless it is empty or another one is
-// in flight.
+// startUpdate starts the pending update of the page unless it is empty, another one is in
+// flight or, in a large fleet, the last one ended less than UpdateSpacing ago or failed
+// less than QuotaInterval ago. Grant requests that waited get the amounts of now.
 func (s *State) startUpdate(page *pageState) {
 	update := page.pending
 	if page.inFlight || update.empty() {
 		return
 	}
+	now := s.Clock.Now()
+	if s.isLargeFleet() && now.Before(page.nextAt) {
+		return
+	}
+	for index, request := range update.Grants {
+		update.Grants[index] = s.Quota.Refresh(request, now)
+	}
 	page.inFlight = true
 	page.pending = PageUpdate{CachedObject: update.CachedObject}
 	update.Purchased = make(map[string]int64)
@@ -329,10 +337,12 @@
 	page := state.pages[m.Update.CachedObject.Name]
 	page.inFlight = false
 	now := state.Clock.Now()
+	page.nextAt = now.Add(UpdateSpacing)
 	if m.Err != nil {
 		state.Log.Emit(event.GrantFailed, event.String("page", m.Update.CachedObject.Name), event.Cause(m.Err))
 		page.pending.CachedObject = store.Object{Name: m.Update.CachedObject.Name}
 		page.pending.Reads = append(page.pending.Reads, m.Update.Reads...)
+		page.nextAt = now.Add(QuotaInterval)
 	} else {
 		page.pending.CachedObject = m.Object
 	}
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -86,6 +86,8 @@
 	pending PageUpdate
 	// inFlight reports whether an update was started and has no result yet.
 	inFlight bool
+	// nextAt is, in a large fleet, the earliest time of the next update.
+	nextAt time.Time
 }
 
 // Waiter is a request that waits for credits.
@@ -168,6 +170,9 @@
 	// their position in the journal of this process.
 	durableWaiters map[int64]chan<- error
 	recoveries     map[RecoveryKey]*quota.Recovery
+	// drawers is the number of processes that take grants from the store for one account
+	// page.
+	drawers int
 	// accountsRead contains the failed processes whose accounts were read for recovery. It
 	// keeps those that are no longer in the view.
 	accountsRead    map[ident.Incarnation]bool
@@ -279,6 +284,9 @@
 		state.membersChanged()
 	}
 	state.serveAllWaiters()
+	if state.isLargeFleet() {
+		state.startAllUpdates()
+	}
 	state.dropRetainedVMs(now)
 	state.JournalBuffer.Tick(now)
 	state.applyJournalEffects()
--- a/router/process/node/supply.go
+++ b/router/process/node/supply.go
@@ -41,8 +41,8 @@
 }
 
 // supply returns which processes take grants from the store. In a large fleet only the
-// preferred routers do, for themselves and for the other processes of their availability
-// zone. In a small fleet each process takes its own, but only the preferred routers count
+// preferred routers do, one for each account page and availability zone, for themselves and
+// for the other processes of the zone. In a small fleet each process takes its own, but only the preferred routers count
 // as direct holders, since callers are sent to them.
 //
 // A process whose view has only few of the other members yet must not take a large share
@@ -65,9 +65,7 @@
 		}
 	}
 	supply.Supplies = contains(preferred[self.Locality], self)
-	if supply.Supplies {
-		return supply
-	}
+	supply.Pages = s.layout.Pages
 	for _, supplier := range preferred[self.Locality] {
 		supply.Suppliers = append(supply.Suppliers, supplier.Incarnation)
 	}
