--- a/fleet/process/quota/allocation.go
+++ b/fleet/process/quota/allocation.go
@@ -29,6 +29,11 @@
 	// PendingReserve is how many credits to send for the reserve of the peer once a grant
 	// covers them.
 	PendingReserve int64 `json:"owed_reserve"`
+	// ReserveRequested reports that the grant request in progress covers PendingReserve.
+	ReserveRequested bool `json:"reserve_asked"`
+	// Unserved is the pending transfer that was given up at UnservedAt.
+	Unserved   int64     `json:"unserved"`
+	UnservedAt time.Time `json:"unserved_at"`
 	// SentAt is the time at which the last transfer was sent.
 	SentAt time.Time `json:"sent"`
 	// Reserve is the unspent part of the credits sent for the reserve of the peer, as far
@@ -320,18 +325,18 @@
 	return &AccountSummary{
 		Age:             now.Sub(a.ReadAt),
 		Remaining:       a.Remaining,
-		Demand:          a.OtherDemand + a.suppliedDemand(now),
+		Demand:          a.OtherDemand + max(a.Demand.Rate, a.peerDemand()),
 		SpendingHolders: a.SpendingHolders,
 		Lost:            a.Lost,
 	}
 }
 
-// suppliedDemand returns the demand of this holder and of the peers that keep a reserve
-// from it, in credits a second.
-func (a *Allocation) suppliedDemand(now time.Time) float64 {
-	demand := a.Demand.Rate
+// peerDemand returns the demand of the peers that refill their reserves here, in credits a
+// second. A report counts for ReportLifetime.
+func (a *Allocation) peerDemand() float64 {
+	var demand float64
 	for _, transfers := range a.Transfers {
-		if now.Sub(transfers.ReportedAt) < ReportLifetime {
+		if a.Demand.UpdatedAt.Sub(transfers.ReportedAt) < ReportLifetime {
 			demand += transfers.Demand
 		}
 	}
--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -21,6 +21,8 @@
 	// each further one, up to MaxStoreBackoff, until the store replies.
 	MinStoreBackoff = time.Second
 	MaxStoreBackoff = 16 * time.Second
+	// MaxSupplierBackoff replaces MaxStoreBackoff at a supplier.
+	MaxSupplierBackoff = 2 * time.Second
 	// TransferRequestTimeout is how long a search waits for the reply of one peer.
 	TransferRequestTimeout = 250 * time.Millisecond
 	// StoreHeadStart is how long a search waits for the store before it also queries peers.
@@ -152,6 +154,9 @@
 // older than any page passed before.
 func (m *Manager[S]) HandleAccount(budget string, view account.View, now time.Time) Actions {
 	allocation := m.Allocation(budget)
+	if allocation.StoreUnavailable && view.Remaining > 0 {
+		m.restoreUnserved(allocation, now)
+	}
 	allocation.UpdatePending = false
 	allocation.OutcomeUnknown = false
 	allocation.StoreUnavailable = false
@@ -171,6 +176,7 @@
 	}
 	allocation.Search.handleStoreReply(view.Remaining, StoreEmpty)
 	actions := m.sendPending(allocation, now)
+	actions.Add(m.sendReserves(allocation, now))
 	if view.Remaining == 0 {
 		actions.Add(m.answerPending(allocation, now))
 	}
@@ -198,15 +204,25 @@
 	allocation.OutcomeUnknown = allocation.OutcomeUnknown || allocation.UpdatePending
 	allocation.StoreUnavailable = true
 	allocation.UpdatePending = false
-	allocation.StoreRetryAt = now.Add(backoff(MinStoreBackoff, MaxStoreBackoff, allocation.StoreFailures))
+	allocation.StoreRetryAt = now.Add(backoff(MinStoreBackoff, m.maxStoreBackoff(), allocation.StoreFailures))
 	allocation.StoreFailures++
 	allocation.Search.handleStoreReply(0, StoreFailed)
 	actions := m.sendPending(allocation, now)
+	actions.Add(m.sendReserves(allocation, now))
 	actions.Add(m.answerPending(allocation, now))
 	actions.Add(m.search(allocation, now))
 	return actions
 }
 
+// maxStoreBackoff returns the longest back-off after failed store calls. Peers wait for a
+// supplier, and there are few of them.
+func (m *Manager[S]) maxStoreBackoff() time.Duration {
+	if m.Supply.Supplies {
+		return MaxSupplierBackoff
+	}
+	return MaxStoreBackoff
+}
+
 // HandleStoreRecovery ends all back-offs once the store is available again.
 func (m *Manager[S]) HandleStoreRecovery() {
 	for _, allocation := range m.Allocations {
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -224,6 +224,7 @@
 		m.maintainWitnesses(allocation)
 	}
 	allocation.UpdatePending = true
+	allocation.coverReserves()
 	return Actions{GrantRequests: []account.GrantRequest{m.grantRequest(allocation, amount, now)}}
 }
 
@@ -231,6 +232,7 @@
 // now, if they are more.
 func (m *Manager[S]) Refresh(request account.GrantRequest, now time.Time) account.GrantRequest {
 	allocation := m.Allocation(request.Budget)
+	allocation.coverReserves()
 	amount := max(m.grantAmount(allocation, now)+allocation.pendingReserves(), request.Target-request.KnownGranted)
 	return m.grantRequest(allocation, amount, now)
 }
@@ -248,7 +250,7 @@
 		Minimum:      m.neededCredits(allocation),
 		MaxFraction:  m.maxFraction(input, allocation.pendingReserves()),
 		MaxUnused:    m.Sizing.MaxUnused(input),
-		Demand:       allocation.suppliedDemand(now),
+		Demand:       max(allocation.Demand.Rate, allocation.peerDemand()),
 		Used:         allocation.used(),
 		Epoch:        latest.Epoch,
 		Witnesses:    latest.Witnesses,
@@ -281,11 +283,12 @@
 		return Actions{}
 	}
 	allocation.UpdatePending = true
+	allocation.coverReserves()
 	return Actions{Refunds: []account.Refund{{
 		Budget: allocation.Budget,
 		Holder: m.Self,
 		Total:  allocation.Refunded,
-		Demand: allocation.suppliedDemand(now),
+		Demand: max(allocation.Demand.Rate, allocation.peerDemand()),
 		Used:   allocation.used(),
 	}}}
 }
@@ -374,8 +377,10 @@
 // sizingInput returns the input of the sizing policy for the number of processes that
 // share the account.
 func (m *Manager[S]) sizingInput(allocation *Allocation, holders int) SizingInput {
+	demand, peerDemand := m.demand(allocation), allocation.peerDemand()
 	return SizingInput{
-		Demand:      m.demand(allocation),
+		Demand:      max(0, demand-peerDemand),
+		PeerDemand:  peerDemand,
 		Observed:    allocation.Demand.UpdatedAt.Sub(allocation.Demand.StartedAt),
 		OtherDemand: allocation.OtherDemand,
 		Need:        m.neededCredits(allocation),
--- a/fleet/process/quota/supply.go
+++ b/fleet/process/quota/supply.go
@@ -22,6 +22,10 @@
 // the membership knows whether it has failed.
 const SilenceDuration = 3 * time.Second
 
+// UnservedLifetime is how long a supplier remembers what a peer needed while the store was
+// unavailable. The peer then asks again.
+const UnservedLifetime = 2 * time.Second
+
 // Supply determines which processes of a large fleet request grants from the store and
 // transfer credits to the others, so that most processes do not call the store. For each
 // account page one of the Suppliers requests the grants; two that both believe to be that
@@ -176,29 +180,31 @@
 	transfers.Reserve = message.Held
 	transfers.Demand = message.Demand
 	transfers.ReportedAt = now
-	transfers.PendingReserve = message.Reserve
+	transfers.PendingReserve, transfers.ReserveRequested = message.Reserve, false
 	allocation.Transfers[message.From] = transfers
 }
 
-// sendReserves sends the pending reserves of peers from what is held beyond the need of
-// waiting requests. If that is not enough for them and the target of this holder, each gets
-// its part.
+// sendReserves sends the pending reserves of peers, after a grant request that covered them,
+// from what is held beyond the need of waiting requests. If that is not enough for them and
+// the target of this holder, each gets its part.
 func (m *Manager[S]) sendReserves(allocation *Allocation, now time.Time) Actions {
-	wanted := allocation.pendingReserves()
-	spare := allocation.Balance.Level().Available - m.neededCredits(allocation)
-	if wanted == 0 || spare <= 0 {
-		return Actions{}
+	var wanted int64
+	for _, transfers := range allocation.Transfers {
+		if transfers.ReserveRequested {
+			wanted += transfers.PendingReserve
+		}
 	}
+	spare := max(0, allocation.Balance.Level().Available-m.neededCredits(allocation))
 	own := m.Sizing.Exposure(m.sizing(allocation))
 	part := min(1, float64(spare)/float64(wanted+own))
 	var actions Actions
 	for _, peer := range slices.Sorted(maps.Keys(allocation.Transfers)) {
 		transfers := allocation.Transfers[peer]
-		if transfers.PendingReserve == 0 {
+		if !transfers.ReserveRequested || transfers.PendingReserve == 0 {
 			continue
 		}
 		sent := allocation.Balance.Take(int64(part * float64(transfers.PendingReserve)))
-		transfers.PendingReserve = 0
+		transfers.PendingReserve, transfers.ReserveRequested = 0, false
 		transfers.Reserve += sent
 		allocation.Transfers[peer] = transfers
 		actions.Add(m.send(allocation, peer, sent, now))
@@ -218,13 +224,36 @@
 		if transfers.Pending+transfers.PendingReserve == 0 {
 			continue
 		}
-		transfers.Pending, transfers.PendingReserve = 0, 0
+		transfers.Unserved, transfers.UnservedAt = transfers.Pending, now
+		transfers.Pending, transfers.PendingReserve, transfers.ReserveRequested = 0, 0, false
 		allocation.Transfers[peer] = transfers
 		actions.Add(m.send(allocation, peer, 0, now))
 	}
 	return actions
 }
 
+// restoreUnserved makes the transfers pending again that were given up while the store was
+// unavailable.
+func (m *Manager[S]) restoreUnserved(allocation *Allocation, now time.Time) {
+	for peer, transfers := range allocation.Transfers {
+		if now.Sub(transfers.UnservedAt) < UnservedLifetime {
+			transfers.Pending = max(transfers.Pending, transfers.Unserved)
+		}
+		transfers.Unserved = 0
+		allocation.Transfers[peer] = transfers
+	}
+}
+
+// coverReserves notes that a grant request covers the pending reserves.
+func (a *Allocation) coverReserves() {
+	for peer, transfers := range a.Transfers {
+		if transfers.PendingReserve > 0 {
+			transfers.ReserveRequested = true
+			a.Transfers[peer] = transfers
+		}
+	}
+}
+
 // pendingReserves returns the sum of the pending reserves of all peers.
 func (a *Allocation) pendingReserves() int64 {
 	var sum int64
--- a/fleet/process/quota/transfer.go
+++ b/fleet/process/quota/transfer.go
@@ -104,6 +104,7 @@
 	if allocation.UpdatePending {
 		return Actions{}
 	}
+	allocation.coverReserves()
 	actions := m.sendReserves(allocation, now)
 	actions.Add(m.answerPending(allocation, now))
 	return actions
@@ -170,7 +171,6 @@
 		allocation.Transfers[peer] = transfers
 		actions.Add(m.send(allocation, peer, sent, now))
 	}
-	actions.Add(m.sendReserves(allocation, now))
 	return actions
 }
 
