--- a/fleet/process/quota/load_test.go
+++ b/fleet/process/quota/load_test.go
@@ -319,6 +319,9 @@
 	l.outage = true
 	checkRefused(t, "without the store", l.play(9*time.Second), maxRefusedInCut)
 	l.outage = false
+	for _, n := range l.nodes {
+		n.manager.HandleStoreRecovery()
+	}
 	l.play(2 * time.Second)
 	checkRefused(t, "two seconds after its return", l.play(5*time.Second), maxRefusedInReach)
 	l.check(t)
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -33,6 +33,10 @@
 			actions.Add(m.requestFrom(allocation, next, search.Need-allocation.Balance.Level().Available, now))
 			return actions
 		}
+		if _, replied := search.Replied[supplier]; replied && allocation.Remaining == 0 {
+			// The supplier has just read the account.
+			search.StoreRequested, search.StoreDone, search.Store = true, true, StoreEmpty
+		}
 	}
 	if !search.StoreRequested {
 		search.StoreRequested = true
