--- a/fleet/process/quota/manager.go
+++ b/fleet/process/quota/manager.go
@@ -21,8 +21,12 @@
 	// each further one, up to MaxStoreBackoff, until the store replies.
 	MinStoreBackoff = time.Second
 	MaxStoreBackoff = 16 * time.Second
+	// MaxSupplierBackoff replaces MaxStoreBackoff at a supplier.
+	MaxSupplierBackoff = 2 * time.Second
 	// TransferRequestTimeout is how long a search waits for the reply of one peer.
-	TransferRequestTimeout = 500 * time.Millisecond
+	TransferRequestTimeout = 250 * time.Millisecond
+	// StoreHeadStart is how long a search waits for the store before it also queries peers.
+	StoreHeadStart = 200 * time.Millisecond
 	// EmptyAccountDelay is how long no grant is requested from an account that was
 	// read as empty.
 	EmptyAccountDelay = time.Second
@@ -62,8 +66,11 @@
 	Peers       []ident.Incarnation
 	Supply      Supply
 	Allocations map[string]*Allocation
-	// reachableHomes has the reachable processes of Supply.Homes.
-	reachableHomes []ident.Incarnation
+	// reachableSuppliers and reachableHomes have the processes of Supply that are reachable.
+	reachableSuppliers []ident.Incarnation
+	reachableHomes     []ident.Incarnation
+	// silent has the suppliers that did not reply to a search, until when they are avoided.
+	silent map[ident.Incarnation]time.Time
 }
 
 // New returns a manager without quota.
@@ -74,6 +81,7 @@
 		Sizing:      sizing,
 		Balances:    balances,
 		Allocations: make(map[string]*Allocation),
+		silent:      make(map[ident.Incarnation]time.Time),
 	}
 }
 
@@ -91,32 +99,7 @@
 // and as witnesses.
 func (m *Manager[S]) SetPeers(peers []ident.Incarnation) {
 	m.Peers = slices.Clone(peers)
-	m.updateReachableHomes()
-}
-
-// Supply determines which processes of a large fleet request grants from the store and
-// transfer credits to the others, so that most processes do not call the store.
-type Supply struct {
-	// Suppliers lists the processes from which this holder refills. It is a direct
-	// holder, which requests grants itself, if there are none. Otherwise it requests
-	// grants only for budgets with steady demand and for waiting requests that the
-	// suppliers do not serve.
-	Suppliers []ident.Incarnation
-	// Supplies reports that other holders refill here. Their demand counts as demand
-	// of this holder.
-	Supplies bool
-	// DirectHolders is the number of direct holders of the fleet, suppliers included.
-	// They share what remains of a budget.
-	DirectHolders int
-	// Homes lists the direct holders of a large fleet. Each may be the home of a budget:
-	// the only supplier of a budget that is too small to be shared.
-	Homes []ident.Incarnation
-}
-
-// SetSupply sets from whom this holder refills and whether it supplies others.
-func (m *Manager[S]) SetSupply(supply Supply) {
-	m.Supply = supply
-	m.updateReachableHomes()
+	m.updateReachable()
 }
 
 // SetPurchased sets the total purchased in the active configuration. It is called
@@ -143,7 +126,8 @@
 // search is started.
 func (m *Manager[S]) Request(budget string, need int64, now time.Time) Actions {
 	allocation := m.Allocation(budget)
-	if need == 0 || now.Before(allocation.SearchRetryAt) {
+	allocation.BackingOff = now.Before(allocation.SearchRetryAt)
+	if need == 0 || allocation.BackingOff {
 		allocation.Search = Search{}
 		return Actions{}
 	}
@@ -151,8 +135,9 @@
 		allocation.Search.StartedAt = now
 		allocation.Searches++
 		allocation.observeRequest(need)
+		allocation.Search.Store = StoreNotAsked
 		allocation.Search.RequestedAt = make(map[ident.Incarnation]time.Time)
-		allocation.Search.Replied = make(map[ident.Incarnation]bool)
+		allocation.Search.Replied = make(map[ident.Incarnation]int64)
 	}
 	allocation.Search.Need = need
 	return m.search(allocation, now)
@@ -164,16 +149,14 @@
 	return m.Allocation(budget).Search.Need > 0
 }
 
-// AddRefused adds the credits of a refused request to the demand.
-func (m *Manager[S]) AddRefused(budget string, need int64) {
-	m.Allocation(budget).RefusedCredits += need
-}
-
 // HandleAccount applies the account as it is in the store, after an update that took
 // effect, an update that was not needed, or a read. The view must be of a page no
 // older than any page passed before.
 func (m *Manager[S]) HandleAccount(budget string, view account.View, now time.Time) Actions {
 	allocation := m.Allocation(budget)
+	if allocation.StoreUnavailable && view.Remaining > 0 {
+		m.restoreUnserved(allocation, now)
+	}
 	allocation.UpdatePending = false
 	allocation.OutcomeUnknown = false
 	allocation.StoreUnavailable = false
@@ -191,8 +174,15 @@
 	if allocation.RecordClosed {
 		allocation.RefundStored = allocation.Refunded
 	}
-	allocation.Search.handleStoreReply(view.Remaining)
+	allocation.Search.handleStoreReply(view.Remaining, StoreEmpty)
 	actions := m.sendPending(allocation, now)
+	actions.Add(m.sendReserves(allocation, now))
+	if view.Remaining == 0 {
+		actions.Add(m.answerPending(allocation, now))
+	}
+	if m.Supply.Supplies && allocation.pendingTransfers()+allocation.pendingReserves() > 0 {
+		actions.Add(m.requestGrant(allocation, now))
+	}
 	actions.Add(m.search(allocation, now))
 	return actions
 }
@@ -214,10 +204,23 @@
 	allocation.OutcomeUnknown = allocation.OutcomeUnknown || allocation.UpdatePending
 	allocation.StoreUnavailable = true
 	allocation.UpdatePending = false
-	allocation.StoreRetryAt = now.Add(backoff(MinStoreBackoff, MaxStoreBackoff, allocation.StoreFailures))
+	allocation.StoreRetryAt = now.Add(backoff(MinStoreBackoff, m.maxStoreBackoff(), allocation.StoreFailures))
 	allocation.StoreFailures++
-	allocation.Search.handleStoreReply(0)
-	return m.search(allocation, now)
+	allocation.Search.handleStoreReply(0, StoreFailed)
+	actions := m.sendPending(allocation, now)
+	actions.Add(m.sendReserves(allocation, now))
+	actions.Add(m.answerPending(allocation, now))
+	actions.Add(m.search(allocation, now))
+	return actions
+}
+
+// maxStoreBackoff returns the longest back-off after failed store calls. Peers wait for a
+// supplier, and there are few of them.
+func (m *Manager[S]) maxStoreBackoff() time.Duration {
+	if m.Supply.Supplies {
+		return MaxSupplierBackoff
+	}
+	return MaxStoreBackoff
 }
 
 // HandleStoreRecovery ends all back-offs once the store is available again.
@@ -234,6 +237,7 @@
 // sends unacknowledged messages again. It is called about once a second.
 func (m *Manager[S]) Tick(now time.Time) Actions {
 	var actions Actions
+	maps.DeleteFunc(m.silent, func(_ ident.Incarnation, until time.Time) bool { return !now.Before(until) })
 	budgets := slices.Sorted(maps.Keys(m.Allocations))
 	batched := false
 	for _, budget := range budgets {
@@ -264,9 +268,7 @@
 func (m *Manager[S]) demandTotal(allocation *Allocation) int64 {
 	total := allocation.Balance.Level().Spent + allocation.RefusedCredits
 	if m.Supply.Supplies {
-		for _, transfers := range allocation.Transfers {
-			total += transfers.SentTotal
-		}
+		total += allocation.usedByPeers()
 	}
 	return total
 }
--- a/fleet/process/quota/sizing.go
+++ b/fleet/process/quota/sizing.go
@@ -8,8 +8,10 @@
 // SizingInput is the input of a SizingPolicy, for one budget at one holder. Amounts
 // are in credits, demand is in credits a second.
 type SizingInput struct {
-	// Demand is the estimated demand at this holder.
+	// Demand is the estimated demand at this holder, without PeerDemand.
 	Demand float64
+	// PeerDemand is the demand of the peers that refill their reserves here.
+	PeerDemand float64
 	// Observed is how long Demand has been observed.
 	Observed time.Duration
 	// OtherDemand is the sum of the demand that the other holders reported with their
@@ -35,6 +37,11 @@
 	Lost int64
 	// Holders is the number of processes that share what remains.
 	Holders int
+	// MaxShare is the part of what all holders keep that this one may keep for its demand,
+	// if that is more than the policy allows for the number of holders.
+	MaxShare float64
+	// Supplies reports that peers refill at this holder.
+	Supplies bool
 	// Batched reports that a grant for any budget is requested at the same time.
 	Batched bool
 }
--- a/router/process/node/quota.go
+++ b/router/process/node/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"jacinthpaddle.example/fleet/process/account"
@@ -46,9 +47,9 @@
 }
 
 // refillQuota runs the periodic work of the quota manager. Its interval grows with the
-// number of processes that take grants from the store.
+// number of processes that take grants from the store for the same account page.
 func (s *State) refillQuota(now time.Time) {
-	interval := scaledInterval(QuotaInterval, s.Quota.Supply.DirectHolders, HoldersPerRefillInterval)
+	interval := scaledInterval(QuotaInterval, s.drawers, HoldersPerRefillInterval)
 	if !s.refilled.due(now, interval, s.isLargeFleet()) {
 		return
 	}
@@ -60,17 +61,17 @@
 // prefetchQuota adds an allocation of every budget before its first use, and reads its
 // account, so that the quota manager requests grants for it. It does so from PrefetchDelay
 // after the start, if there are at most MaxPrefetchedBudgets budgets, the sizing policy uses
-// no witnesses and this process has no supplier. Without a prefetch, a process that is
+// no witnesses and callers are directed to this process. Without a prefetch, a process that is
 // partitioned from the store before the first use of a budget has no credits for it.
 func (s *State) prefetchQuota(now time.Time) {
-	supplied := len(s.Quota.Supply.Suppliers) > 0
+	supplied := len(s.Quota.Supply.Suppliers) > 0 && !s.Quota.Supply.Supplies
 	budgets := s.Generation.Set.Budgets
 	if s.Quota.Sizing.UsesWitnesses() || supplied || len(budgets) > MaxPrefetchedBudgets || now.Sub(s.Started) < PrefetchDelay {
 		return
 	}
 	for _, budget := range budgets {
 		s.ensureAllocation(budget.Name)
-		if s.Quota.Unread(budget.Name) {
+		if s.Quota.Unread(budget.Name) && s.Quota.Draws(budget.Name) {
 			s.readAccount(budget.Name)
 		}
 	}
@@ -128,7 +129,7 @@
 			continue
 		}
 		state.waiters[m.Budget] = append(waiting[:index], waiting[index+1:]...)
-		state.Quota.AddRefused(m.Budget, waiter.Amount)
+		state.recordRefusal(m.Budget, waiter.Amount)
 		waiter.Reply <- false
 		state.serveWaiters(m.Budget)
 		return
@@ -147,12 +148,29 @@
 	}
 	s.reserveForWaiters(budget)
 	for _, refused := range s.waiters[budget] {
-		s.Quota.AddRefused(budget, refused.Amount)
+		s.recordRefusal(budget, refused.Amount)
 		refused.Reply <- false
 	}
 	delete(s.waiters, budget)
 }
 
+// recordRefusal adds a refused request to the demand and logs the reasons for the first one
+// after each search.
+func (s *State) recordRefusal(budget string, amount int64) {
+	s.Quota.AddRefused(budget, amount)
+	refusal, ok := s.Quota.Explain(budget, s.Clock.Now())
+	if !ok {
+		return
+	}
+	s.Log.Emit(event.CreditsRefused, event.String("budget", budget), event.Int("refused", refusal.Count),
+		event.Int("need", refusal.Need), event.Int("held", refusal.Level.Available),
+		event.Int("reserved", refusal.Level.Reserved), event.Int("spent", refusal.Level.Spent),
+		event.Int("unacknowledged", refusal.Unacknowledged), event.Int("remaining", refusal.Remaining),
+		event.Int("remaining_age_ms", refusal.Age.Milliseconds()), event.Int("lost", refusal.Lost),
+		event.Bool("supplied", refusal.Supplied), event.String("store", refusal.Store),
+		event.String("peers", strings.Join(refusal.Peers, " ")))
+}
+
 // reserveForWaiters reserves the available credits for waiting requests. A request for
 // more than is available is skipped and keeps its place in the queue.
 func (s *State) reserveForWaiters(budget string) {
@@ -236,13 +254,21 @@
 	return page
 }
 
-// startUpdate starts the pending update of the page unless it is empty or another one is
-// in flight.
+// startUpdate starts the pending update of the page unless it is empty, another one is in
+// flight or, in a large fleet, the last one ended less than UpdateSpacing ago or failed
+// less than QuotaInterval ago. Grant requests that waited get the amounts of now.
 func (s *State) startUpdate(page *pageState) {
 	update := page.pending
 	if page.inFlight || update.empty() {
 		return
 	}
+	now := s.Clock.Now()
+	if s.isLargeFleet() && now.Before(page.nextAt) {
+		return
+	}
+	for index, request := range update.Grants {
+		update.Grants[index] = s.Quota.Refresh(request, now)
+	}
 	page.inFlight = true
 	page.pending = PageUpdate{CachedObject: update.CachedObject}
 	update.Purchased = make(map[string]int64)
@@ -311,10 +337,12 @@
 	page := state.pages[m.Update.CachedObject.Name]
 	page.inFlight = false
 	now := state.Clock.Now()
+	page.nextAt = now.Add(UpdateSpacing)
 	if m.Err != nil {
 		state.Log.Emit(event.GrantFailed, event.String("page", m.Update.CachedObject.Name), event.Cause(m.Err))
 		page.pending.CachedObject = store.Object{Name: m.Update.CachedObject.Name}
 		page.pending.Reads = append(page.pending.Reads, m.Update.Reads...)
+		page.nextAt = now.Add(QuotaInterval)
 	} else {
 		page.pending.CachedObject = m.Object
 	}
