--- a/proof/homes_test.go
+++ b/proof/homes_test.go
@@ -14,7 +14,7 @@
 // also once that endpoint leaves.
 func TestHomeRegions(t *testing.T) {
 	t.Parallel()
-	f := harness.NewFleet(t, harness.Config{Network: 24, Routers: 3, Endpoints: 3})
+	f := harness.NewFleet(t, harness.Config{Network: 25, Routers: 3, Endpoints: 3})
 	const route = "target = redeem"
 	unknown := f.WriteDeclarations(t, harness.DeclarationsWith(route, route+"\nregions = central, centrall"))
 	if got := f.RunCLI("apply", "--dir", unknown); got.Exit != exitFaults || !strings.Contains(got.Output, `region "centrall" is not known`) {
