--- a/fleet/process/quota/load_test.go
+++ b/fleet/process/quota/load_test.go
@@ -238,9 +238,18 @@
 	}
 }
 
+// checkCalls fails the test if there were more store calls than the limit.
+func checkCalls(t *testing.T, what string, got, limit int) {
+	t.Helper()
+	if got > limit {
+		t.Errorf("store calls %s: got %d, want at most %d", what, got, limit)
+	}
+}
+
 const (
-	maxRefusedInReach = 0.01
-	maxRefusedInCut   = 0.05
+	maxRefusedInReach     = 0.01
+	maxRefusedInCut       = 0.05
+	callsPerZoneAndSecond = 4
 )
 
 // TestWeakRouterWithHalfOfTheDemand has callers of a large team stay with a router to
@@ -258,28 +267,34 @@
 }
 
 // TestDemandThatDoublesInASecond has the demand of all routers rise from one second to the
-// next.
+// next, also at one to which nobody directs callers.
 func TestDemandThatDoublesInASecond(t *testing.T) {
 	const rate = 300
 	l := newLoad(4, 12, 2*rate)
-	l.demand(rate)
+	other := l.zones[1][11]
+	l.losing[other] = true
+	l.demand(rate / 2)
+	l.rates[other] = rate / 2
 	l.play(15 * time.Second)
-	l.demand(2 * rate)
+	l.demand(rate)
+	l.rates[other] = rate
 	calls := l.calls
 	checkRefused(t, "after the increase", l.play(10*time.Second), maxRefusedInReach)
-	if got, limit := l.calls-calls, 10*len(l.zones)*4; got > limit {
-		t.Errorf("store calls in 10 s: got %d, want at most %d", got, limit)
-	}
+	checkCalls(t, "in 10 s", l.calls-calls, 10*len(l.zones)*callsPerZoneAndSecond)
 	l.check(t)
 }
 
-// TestHotTenantAtSevenTimes has a team send seven times its usual for some seconds.
+// TestHotTenantAtSevenTimes has a team send seven times its usual for some seconds, half of
+// it to a router to which nobody directs callers.
 func TestHotTenantAtSevenTimes(t *testing.T) {
 	const rate = 100
 	l := newLoad(4, 12, 3*rate)
+	other := l.zones[1][11]
+	l.losing[other] = true
 	l.demand(rate)
 	l.play(10 * time.Second)
-	l.demand(7 * rate)
+	l.demand(7 * rate / 2)
+	l.rates[other] = 7 * rate / 2
 	checkRefused(t, "of the hot tenant", l.play(6*time.Second), maxRefusedInReach)
 	l.check(t)
 }
@@ -301,9 +316,7 @@
 			}
 		}
 	}
-	if got, limit := l.calls, 20*len(l.zones)*4; got > limit {
-		t.Errorf("store calls in 20 s: got %d, want at most %d", got, limit)
-	}
+	checkCalls(t, "in 20 s", l.calls, 20*len(l.zones)*callsPerZoneAndSecond)
 	l.check(t)
 }
 
--- a/fleet/process/quota/sizing.go
+++ b/fleet/process/quota/sizing.go
@@ -8,10 +8,8 @@
 // SizingInput is the input of a SizingPolicy, for one budget at one holder. Amounts
 // are in credits, demand is in credits a second.
 type SizingInput struct {
-	// Demand is the estimated demand at this holder, without PeerDemand.
+	// Demand is the estimated demand at this holder, with that of the peers that refill here.
 	Demand float64
-	// PeerDemand is the demand of the peers that refill their reserves here.
-	PeerDemand float64
 	// Observed is how long Demand has been observed.
 	Observed time.Duration
 	// OtherDemand is the sum of the demand that the other holders reported with their
--- a/fleet/process/quota/spread.go
+++ b/fleet/process/quota/spread.go
@@ -135,7 +135,7 @@
 // minHeld returns how many credits a holder keeps even if its share is lower.
 func minHeld(input SizingInput) int64 {
 	if input.Supplies {
-		return creditsFor(input.Demand+input.PeerDemand, SupplierHorizon)
+		return creditsFor(input.Demand, SupplierHorizon)
 	}
 	return creditsFor(input.Demand, MinHorizon)
 }
@@ -162,7 +162,7 @@
 // keeps.
 func (d DemandSpread) shareWeight(input SizingInput) float64 {
 	even := 1 / float64(max(1, input.Holders, d.Holders))
-	total := input.Demand + input.PeerDemand + input.OtherDemand
+	total := input.Demand + input.OtherDemand
 	if total == 0 {
 		return even
 	}
