--- a/fleet/process/quota/grant.go
+++ b/fleet/process/quota/grant.go
@@ -26,7 +26,7 @@
 	}
 	allocation.UpdatePending = true
 	allocation.coverReserves()
-	return Actions{GrantRequests: []account.GrantRequest{m.grantRequest(allocation, amount, now)}}
+	return Actions{GrantRequests: []account.GrantRequest{m.grantRequest(allocation, amount)}}
 }
 
 // Refresh returns a grant request that was not sent yet with the amounts that are needed
@@ -35,10 +35,11 @@
 	allocation := m.Allocation(request.Budget)
 	allocation.coverReserves()
 	amount := max(m.grantAmount(allocation, now)+allocation.pendingReserves(), request.Target-request.KnownGranted)
-	return m.grantRequest(allocation, amount, now)
+	return m.grantRequest(allocation, amount)
 }
 
-func (m *Manager[S]) grantRequest(allocation *Allocation, amount int64, now time.Time) account.GrantRequest {
+// grantRequest returns a request to raise the grant by the amount.
+func (m *Manager[S]) grantRequest(allocation *Allocation, amount int64) account.GrantRequest {
 	latest := allocation.latestWitnesses()
 	input := m.sizing(allocation)
 	return account.GrantRequest{
--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -10,10 +10,10 @@
 // search continues the search for the waiting requests: it requests a higher ceiling,
 // then credits from the supplier of a supplied allocation, then a grant from the store,
 // then credits from peers, at the latest StoreHeadStart after the store. It does nothing
-// while the balance covers the need. While the available and unacknowledged credits together cover it, only the ceiling is requested,
-// for TransferRequestTimeout from the start of the search. The search ends once the
-// store, and the peers if the sizing policy allows transfers, have supplied too few
-// credits.
+// while the balance covers the need. While the available and unacknowledged credits
+// together cover it, only the ceiling is requested, for TransferRequestTimeout from the
+// start of the search. The search ends once the store, and the peers if the sizing policy
+// allows transfers, have supplied too few credits.
 func (m *Manager[S]) search(allocation *Allocation, now time.Time) Actions {
 	search := &allocation.Search
 	if search.Need == 0 || allocation.Balance.Level().Available >= search.Need {
@@ -80,8 +80,8 @@
 
 // handleStoreReply handles the end of a grant request, after which the account has the
 // remaining credits, or zero if the store call failed. The search is finished with the
-// store, with the outcome, if none remain, and requests another grant otherwise. It does nothing for a
-// search that has not requested a grant.
+// store, with the outcome, if none remain, and requests another grant otherwise. It does
+// nothing for a search that has not requested a grant.
 func (s *Search) handleStoreReply(remaining int64, outcome StoreOutcome) {
 	if !s.StoreRequested {
 		return
@@ -178,8 +178,8 @@
 }
 
 // candidates returns the reachable peers that may hold credits, the nearest first: the
-// open holders of the account, the suppliers and the peers of earlier transfers. Before the account
-// was read all peers may hold credits.
+// open holders of the account, the suppliers and the peers of earlier transfers. Before the
+// account was read all peers of a small fleet may hold credits.
 func (m *Manager[S]) candidates(allocation *Allocation) []ident.Incarnation {
 	if allocation.unread() && len(allocation.OtherHolders)+len(m.Supply.Homes) == 0 {
 		return m.Peers
