--- a/fleet/process/meter/meter.go
+++ b/fleet/process/meter/meter.go
@@ -89,6 +89,21 @@
 	return errors.Annotate(err, "metrics")
 }
 
+// ObserveCreditRefusals adds a counter of the requests that were refused for lack of credits,
+// by what was last known of the account. The function totals returns the totals. It is called
+// at each scrape.
+func (m *Metrics) ObserveCreditRefusals(totals func() map[string]int64) error {
+	_, err := m.meter.Int64ObservableCounter("credit_refusals",
+		metric.WithDescription("requests refused for lack of credits, by the state of the account"), metric.WithUnit("{request}"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			for account, total := range totals() {
+				observer.Observe(total, metric.WithAttributes(attribute.String("account", account)))
+			}
+			return nil
+		}))
+	return errors.Annotate(err, "metrics")
+}
+
 // ObserveLog adds a counter of the log lines that were dropped. The function dropped
 // returns the total. It is called at each scrape.
 func (m *Metrics) ObserveLog(dropped func() int64) error {
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -170,6 +170,9 @@
 	if err := metrics.ObservePeers(node.peerBytes); err != nil {
 		return nil, err
 	}
+	if err := metrics.ObserveCreditRefusals(node.state.Refusals.Totals); err != nil {
+		return nil, err
+	}
 	if deps.LinesDropped != nil {
 		if err := metrics.ObserveLog(deps.LinesDropped); err != nil {
 			return nil, err
--- a/router/process/node/quota.go
+++ b/router/process/node/quota.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"jacinthpaddle.example/fleet/process/account"
@@ -154,23 +153,6 @@
 	delete(s.waiters, budget)
 }
 
-// recordRefusal adds a refused request to the demand and logs the reasons for the first one
-// after each search.
-func (s *State) recordRefusal(budget string, amount int64) {
-	s.Quota.AddRefused(budget, amount)
-	refusal, ok := s.Quota.Explain(budget, s.Clock.Now())
-	if !ok {
-		return
-	}
-	s.Log.Emit(event.CreditsRefused, event.String("budget", budget), event.Int("refused", refusal.Count),
-		event.Int("need", refusal.Need), event.Int("held", refusal.Level.Available),
-		event.Int("reserved", refusal.Level.Reserved), event.Int("spent", refusal.Level.Spent),
-		event.Int("unacknowledged", refusal.Unacknowledged), event.Int("remaining", refusal.Remaining),
-		event.Int("remaining_age_ms", refusal.Age.Milliseconds()), event.Int("lost", refusal.Lost),
-		event.Bool("supplied", refusal.Supplied), event.String("store", refusal.Store),
-		event.String("peers", strings.Join(refusal.Peers, " ")))
-}
-
 // reserveForWaiters reserves the available credits for waiting requests. A request for
 // more than is available is skipped and keeps its place in the queue.
 func (s *State) reserveForWaiters(budget string) {
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -108,6 +108,8 @@
 	// Quota decides on the quota of this process. Its Balances are shared with the
 	// goroutines of requests.
 	Quota *quota.Manager[quota.SizingPolicy]
+	// Refusals is shared with the metrics.
+	Refusals *RefusalCounts
 	// Witness acknowledges the ceilings of other holders.
 	Witness *quota.Witness
 	// JournalBuffer has the journal records of this process that are not stored yet.
@@ -236,6 +238,7 @@
 		Settings:       settings,
 		Quota:          quota.New(self.Incarnation, newSizingPolicy(settings.Quota), &quota.Balances{}),
 		Witness:        quota.NewWitness(),
+		Refusals:       &RefusalCounts{},
 		JournalBuffer:  journal.NewBuffer(journalConfig, self.Incarnation),
 		Replicas:       journal.NewReplicas(),
 		ActiveSnapshot: current.New(newerSnapshot),
