--- a/fleet/process/quota/search.go
+++ b/fleet/process/quota/search.go
@@ -4,17 +4,16 @@
 	"slices"
 	"time"
 
-	"jacinthpaddle.example/fleet/process/account"
 	"jacinthpaddle.example/fleet/process/ident"
 )
 
 // search continues the search for the waiting requests: it requests a higher ceiling,
 // then credits from the supplier of a supplied allocation, then a grant from the store,
 // then credits from peers, at the latest StoreHeadStart after the store. It does nothing
-// while the balance covers the need. While the available and unacknowledged credits together cover it, only the ceiling is requested,
-// for TransferRequestTimeout from the start of the search. The search ends once the
-// store, and the peers if the sizing policy allows transfers, have supplied too few
-// credits.
+// while the balance covers the need. While the available and unacknowledged credits
+// together cover it, only the ceiling is requested, for TransferRequestTimeout from the
+// start of the search. The search ends once the store, and the peers if the sizing policy
+// allows transfers, have supplied too few credits.
 func (m *Manager[S]) search(allocation *Allocation, now time.Time) Actions {
 	search := &allocation.Search
 	if search.Need == 0 || allocation.Balance.Level().Available >= search.Need {
@@ -81,8 +80,8 @@
 
 // handleStoreReply handles the end of a grant request, after which the account has the
 // remaining credits, or zero if the store call failed. The search is finished with the
-// store, with the outcome, if none remain, and requests another grant otherwise. It does nothing for a
-// search that has not requested a grant.
+// store, with the outcome, if none remain, and requests another grant otherwise. It does
+// nothing for a search that has not requested a grant.
 func (s *Search) handleStoreReply(remaining int64, outcome StoreOutcome) {
 	if !s.StoreRequested {
 		return
@@ -179,8 +178,8 @@
 }
 
 // candidates returns the reachable peers that may hold credits, the nearest first: the
-// open holders of the account, the suppliers and the peers of earlier transfers. Before the account
-// was read all peers may hold credits.
+// open holders of the account, the suppliers and the peers of earlier transfers. Before the
+// account was read all peers of a small fleet may hold credits.
 func (m *Manager[S]) candidates(allocation *Allocation) []ident.Incarnation {
 	if allocation.unread() && len(allocation.OtherHolders)+len(m.Supply.Homes) == 0 {
 		return m.Peers
@@ -208,196 +207,3 @@
 	rotated := slices.Concat(nearest, others[start:], others[:start])
 	return rotated[:MaxSearchPeers]
 }
-
-// requestGrant requests the credits that the sizing policy determines and the
-// recording of a proposed witness set. A request for no credits finds out whether an
-// earlier update with unknown outcome took effect.
-func (m *Manager[S]) requestGrant(allocation *Allocation, now time.Time) Actions {
-	if allocation.UpdatePending || allocation.RecordClosed || allocation.Closing || now.Before(allocation.StoreRetryAt) {
-		return Actions{}
-	}
-	amount := m.grantAmount(allocation, now)
-	reserves := allocation.pendingReserves()
-	if allocation.Remaining > 0 && !allocation.unread() {
-		amount += reserves
-	}
-	if amount == 0 && !allocation.hasUnrecordedSet() && !allocation.OutcomeUnknown {
-		return Actions{}
-	}
-	if !allocation.RecordSeen {
-		m.maintainWitnesses(allocation)
-	}
-	allocation.UpdatePending = true
-	allocation.coverReserves()
-	return Actions{GrantRequests: []account.GrantRequest{m.grantRequest(allocation, amount, now)}}
-}
-
-// Refresh returns a grant request that was not sent yet with the amounts that are needed
-// now, if they are more.
-func (m *Manager[S]) Refresh(request account.GrantRequest, now time.Time) account.GrantRequest {
-	allocation := m.Allocation(request.Budget)
-	allocation.coverReserves()
-	amount := max(m.grantAmount(allocation, now)+allocation.pendingReserves(), request.Target-request.KnownGranted)
-	return m.grantRequest(allocation, amount, now)
-}
-
-func (m *Manager[S]) grantRequest(allocation *Allocation, amount int64, now time.Time) account.GrantRequest {
-	latest := allocation.latestWitnesses()
-	input := m.sizing(allocation)
-	return account.GrantRequest{
-		Budget:       allocation.Budget,
-		Holder:       m.Self,
-		VM:           m.VM,
-		RecordSeen:   allocation.RecordSeen,
-		KnownGranted: allocation.Granted,
-		Target:       allocation.Granted + amount,
-		Minimum:      m.neededCredits(allocation),
-		MaxFraction:  m.maxFraction(input, allocation.pendingReserves()),
-		MaxUnused:    m.Sizing.MaxUnused(input),
-		Demand:       max(allocation.Demand.Rate, allocation.peerDemand()),
-		Used:         allocation.used(),
-		Epoch:        latest.Epoch,
-		Witnesses:    latest.Witnesses,
-	}
-}
-
-// maxFraction returns the largest fraction of what the account has left that a grant may
-// take for this holder and the pending reserves of peers, or 0 for no bound.
-func (m *Manager[S]) maxFraction(input SizingInput, reserves int64) float64 {
-	fraction := m.Sizing.MaxFraction(input)
-	if fraction == 0 || reserves == 0 || input.Remaining <= 0 {
-		return fraction
-	}
-	return min(1, fraction+float64(reserves)/float64(input.Remaining))
-}
-
-// refund returns to the store the credits that the sizing policy reports as surplus. They
-// leave the balance at once, and the refund is repeated until the store has recorded it.
-// A supplied allocation has no new surplus: it gets only small amounts from its supplier
-// and keeps them.
-func (m *Manager[S]) refund(allocation *Allocation, now time.Time) Actions {
-	if allocation.UpdatePending || allocation.RecordClosed || !allocation.RecordSeen || now.Before(allocation.StoreRetryAt) {
-		return Actions{}
-	}
-	if !m.supplied(allocation) && !allocation.StoreUnavailable {
-		surplus := m.Sizing.Surplus(m.sizing(allocation))
-		allocation.Refunded += allocation.Balance.Take(surplus)
-	}
-	if allocation.Refunded <= allocation.RefundStored {
-		return Actions{}
-	}
-	allocation.UpdatePending = true
-	allocation.coverReserves()
-	return Actions{Refunds: []account.Refund{{
-		Budget: allocation.Budget,
-		Holder: m.Self,
-		Total:  allocation.Refunded,
-		Demand: max(allocation.Demand.Rate, allocation.peerDemand()),
-		Used:   allocation.used(),
-	}}}
-}
-
-// grantAmount returns how many credits to request from the store. From an account
-// without credits it requests only for waiting requests, and not until
-// EmptyAccountDelay after the account was read. A supplied allocation also requests only
-// what waiting requests need. A holder for which there are too few witnesses requests no more
-// than its exposure, since nothing beyond it could be reclaimed.
-func (m *Manager[S]) grantAmount(allocation *Allocation, now time.Time) int64 {
-	if allocation.Remaining == 0 && (m.neededCredits(allocation) == 0 || now.Sub(allocation.ReadAt) < EmptyAccountDelay) {
-		return 0
-	}
-	input := m.sizing(allocation)
-	if m.supplied(allocation) {
-		return max(0, input.Need-input.Held)
-	}
-	amount := max(0, m.Sizing.GrantAmount(input))
-	if m.Sizing.UsesWitnesses() && len(allocation.latestWitnesses().Witnesses) == 0 && m.selectWitnesses(allocation) == nil {
-		amount = min(amount, max(0, m.Sizing.Exposure(input)-input.Held))
-	}
-	return amount
-}
-
-// holderCount returns how many processes share what remains of the account: the home
-// alone if the budget has one, else sharingHolders.
-func (m *Manager[S]) holderCount(allocation *Allocation) int {
-	if m.concentrated(allocation) {
-		return 1
-	}
-	return m.sharingHolders(allocation)
-}
-
-// sharingHolders returns how many processes share what remains of the account of a
-// budget without a home:
-//
-//   - For a policy without witnesses, the direct holders or the holders that spend,
-//     whichever are more.
-//   - For a policy with witnesses, the direct holders if this process is a supplier,
-//     else all open holders of the account.
-//
-// While DirectHolders is not set, a policy without witnesses uses the second rule.
-func (m *Manager[S]) sharingHolders(allocation *Allocation) int {
-	switch {
-	case !m.Sizing.UsesWitnesses() && m.Supply.DirectHolders > 0:
-		return max(m.Supply.DirectHolders, allocation.SpendingHolders+1)
-	case m.Supply.Supplies:
-		return m.Supply.DirectHolders
-	default:
-		return len(allocation.OtherHolders) + 1
-	}
-}
-
-// neededCredits returns how many credits requests wait for, here and at the peers that
-// refill here.
-func (m *Manager[S]) neededCredits(allocation *Allocation) int64 {
-	if m.Supply.Supplies {
-		return allocation.Search.Need + allocation.pendingTransfers()
-	}
-	return allocation.Search.Need
-}
-
-// maxShare returns SizingInput.MaxShare. In a large fleet an even share is too small for a
-// holder that has much of the demand of a budget.
-func (m *Manager[S]) maxShare() float64 {
-	if len(m.Supply.Suppliers) == 0 {
-		return 0
-	}
-	return LargeFleetMaxShare
-}
-
-// demand returns the demand for which this holder keeps credits. In a large fleet it
-// follows an increase at once, since others draw on the same account page.
-func (m *Manager[S]) demand(allocation *Allocation) float64 {
-	if len(m.Supply.Suppliers) == 0 || m.Sizing.UsesWitnesses() {
-		return allocation.Demand.Rate
-	}
-	return max(allocation.Demand.Rate, allocation.Demand.Recent)
-}
-
-// sizing returns the input of the sizing policy.
-func (m *Manager[S]) sizing(allocation *Allocation) SizingInput {
-	return m.sizingInput(allocation, m.holderCount(allocation))
-}
-
-// sizingInput returns the input of the sizing policy for the number of processes that
-// share the account.
-func (m *Manager[S]) sizingInput(allocation *Allocation, holders int) SizingInput {
-	demand, peerDemand := m.demand(allocation), allocation.peerDemand()
-	return SizingInput{
-		Demand:      max(0, demand-peerDemand),
-		PeerDemand:  peerDemand,
-		Observed:    allocation.Demand.UpdatedAt.Sub(allocation.Demand.StartedAt),
-		OtherDemand: allocation.OtherDemand,
-		Need:        m.neededCredits(allocation),
-		MeanRequest: m.meanRequest(allocation),
-		Held:        allocation.Held(),
-		Granted:     allocation.Granted,
-		Purchased:   allocation.Purchased,
-		Remaining:   allocation.knownRemaining(),
-		Unread:      allocation.unread(),
-		Lost:        allocation.Lost,
-		Holders:     holders,
-		MaxShare:    m.maxShare(),
-		Supplies:    m.Supply.Supplies,
-		Batched:     m.Batched,
-	}
-}
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -179,6 +179,9 @@
 	if err := metrics.ObserveSlowEndpoints(node.slowEndpoints); err != nil {
 		return nil, err
 	}
+	if err := metrics.ObserveCreditRefusals(node.state.Refusals.Totals); err != nil {
+		return nil, err
+	}
 	if deps.LinesDropped != nil {
 		if err := metrics.ObserveLog(deps.LinesDropped); err != nil {
 			return nil, err
