endpoint: Presume that a zone returns cold from its evacuation

Cause: the parts for evacuations and for cold endpoints were built apart, so that a zone that returned got a slow start but no start rate until the list said that its endpoints are cold. Change: an endpoint whose zone is no longer evacuated is presumed cold for the cold time of its pool, as after an ejection. Pools without a rate are as before. Measured: TestReturningZoneIsPresumedCold fails without the line (warm, want cold).

--- a/fleet/connection/endpoint/evacuation.go
+++ b/fleet/connection/endpoint/evacuation.go
@@ -17,6 +17,8 @@
 	evacuated := slices.Contains(t.evacuated, state.VM.AvailabilityZone)
 	if state.evacuated && !evacuated {
 		state.SlowStartSince.Store(now)
+		// Endpoints may have been restarted meanwhile, and the list may say so later.
+		state.Cold.Presume(now)
 	}
 	state.evacuated = evacuated
 	return !evacuated
--- a/fleet/connection/endpoint/evacuation_test.go
+++ b/fleet/connection/endpoint/evacuation_test.go
@@ -69,3 +69,24 @@
 		t.Errorf("slow start of m1: got %s, want none", got)
 	}
 }
+
+// A zone may return with endpoints that were restarted, before the list says that they are
+// cold. Without the presumption all routers send to them at once.
+func TestReturningZoneIsPresumedCold(t *testing.T) {
+	table, clk := newTable()
+	list := []vm.VM{machine("m1", hall, vm.Live)}
+	table.Update(list, coldPools)
+	table.SetEvacuated([]string{hall.AvailabilityZone})
+	table.Update(list, coldPools)
+	clk.Advance(time.Minute)
+	table.SetEvacuated(nil)
+	table.Update(list, coldPools)
+	cold := &find(table, "m1").Cold
+	if cold.Allows(clk.Now()) {
+		t.Error("endpoint of a zone that returned: got warm, want cold")
+	}
+	clk.Advance(coldTime)
+	if !cold.Allows(clk.Now()) {
+		t.Errorf("endpoint %s later: got cold, want warm", coldTime)
+	}
+}
