serve tests: Make the seeded source of the harness safe for concurrent requests

Cause: TestBodiesWithoutEndStayInMemory runs requests at the same time over a *rand.Rand, which is not safe for that: the race detector stopped 2 of 11 runs in retry.Policy.Backoff. Change: the harness guards the source with a mutex. The seed and all checks are as before.

--- a/fleet/request/serve/serve_test.go
+++ b/fleet/request/serve/serve_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -98,6 +99,24 @@
 
 const purchased = 1_000
 
+// lockedSource is a seeded source for concurrent requests.
+type lockedSource struct {
+	mu     sync.Mutex
+	source *rand.Rand
+}
+
+func (l *lockedSource) IntN(n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.source.IntN(n)
+}
+
+func (l *lockedSource) Float64() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.source.Float64()
+}
+
 func newHarness(t *testing.T, handler http.HandlerFunc) *harness {
 	t.Helper()
 	server := httptest.NewServer(handler)
@@ -109,7 +128,7 @@
 	host, port, _ := net.SplitHostPort(server.Listener.Addr().String())
 	number, _ := strconv.Atoi(port)
 	pool := declaration.Pool{Name: "runners", Kind: declaration.EndpointPool, Port: number}
-	source := rand.New(rand.NewPCG(1, 2))
+	source := &lockedSource{source: rand.New(rand.NewPCG(1, 2))}
 	table := endpoint.NewTable(endpoint.Defaults(vm.Locality{}, "self"), clock.New())
 	table.Update([]vm.VM{{Name: "runner-1", Address: host, Pool: "runners", State: vm.Live}}, []declaration.Pool{pool})
 	made := &harness{balance: &quota.Balance{}, recorder: &recorder{}, sink: &sink{}}
