--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -29,6 +29,12 @@
 	c.require(value > 0, section, key, "must be more than zero")
 }
 
+// Smallest VM on which a router runs.
+const (
+	MinMemoryMB    = 64
+	MinDescriptors = 300
+)
+
 // MinBound is the shortest bound on the time until a change of the store is in force.
 const MinBound = time.Second
 
@@ -57,6 +63,8 @@
 	check.require(s.VM.Region != "", "vm", "region", "is missing")
 	check.require(s.VM.AvailabilityZone != "", "vm", "availability_zone", "is missing")
 	check.require(s.VM.Cores > 0, "vm", "cores", "must be more than zero")
+	check.require(s.VM.MemoryMB == 0 || s.VM.MemoryMB >= MinMemoryMB, "vm", "memory_mb", fmt.Sprintf("must be 0 or at least %d", MinMemoryMB))
+	check.require(s.VM.Descriptors == 0 || s.VM.Descriptors >= MinDescriptors, "vm", "descriptors", fmt.Sprintf("must be 0 or at least %d", MinDescriptors))
 	check.require(s.VM.CPUShare > 0, "vm", "cpu_share", "must be more than zero")
 	_, _, err = net.SplitHostPort(s.Platform.Address)
 	check.require(err == nil, "platform", "address", "must be host:port")
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -38,6 +38,11 @@
 	Cores            float64 `ini:"cores"`
 	// CPUShare is the fraction of each core that the VM may use.
 	CPUShare float64 `ini:"cpu_share"`
+	// MemoryMB is the memory of the VM in units of 1,048,576 bytes, or zero if it is not
+	// known.
+	MemoryMB int64 `ini:"memory_mb"`
+	// Descriptors is the number of file descriptors of the VM, or zero if it is not known.
+	Descriptors int `ini:"descriptors"`
 }
 
 // ListenSettings has the TCP ports on the VM's address, and separate addresses for the
