listener, intake, buffer: Bound what all callers together occupy

Cause: heads, bodies and connections had bounds of their own, and no common one. 300 bodies that stop one byte short took 758 MB on a VM of 64 MB.

Change: requests and responses share one pool (buffer.Pool), a third of it for requests (buffer.Receiver). A head takes its part before net/http parses it (listener, head), a body as it arrives (intake). An address gets as much as stays free beside it, small requests have a reserve, and requests that stopped arriving give up theirs. Connections have a bound from the memory and the descriptors of the VM (listener.Gate), where idle and stalled ones of the address with the most are replaced. A body without progress ends with 408 after body_stall_timeout. The runtime has a soft limit of half of the memory.

--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -36,6 +36,7 @@
 	Reloaded            = Kind{1009, "settings reloaded", logrus.InfoLevel}
 	ReloadRefused       = Kind{1010, "reloaded settings refused", logrus.ErrorLevel}
 	LibraryMessage      = Kind{1011, "message of a library", logrus.WarnLevel}
+	ConnectionRefused   = Kind{1012, "connection refused or replaced", logrus.WarnLevel}
 	GenerationActivated = Kind{2001, "generation taken", logrus.InfoLevel}
 	GenerationFailed    = Kind{2002, "generation not readable", logrus.WarnLevel}
 	PlatformUnavailable = Kind{3001, "platform unavailable", logrus.WarnLevel}
@@ -71,7 +72,7 @@
 func All() []Kind {
 	return []Kind{
 		Started, Draining, Stopped, BadSettings, ListenFailed, ControlPanicked, DumpWritten, DrainIncomplete,
-		Reloaded, ReloadRefused, LibraryMessage,
+		Reloaded, ReloadRefused, LibraryMessage, ConnectionRefused,
 		GenerationActivated, GenerationFailed,
 		PlatformUnavailable, PlatformAvailable, PlatformSilent,
 		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed,
--- a/fleet/process/meter/meter.go
+++ b/fleet/process/meter/meter.go
@@ -26,6 +26,8 @@
 	Requests metric.Int64Counter
 	// Refusals counts rejected and failed requests by Code.
 	Refusals metric.Int64Counter
+	// ConnectionsRefused counts refused and replaced connections by Reason.
+	ConnectionsRefused metric.Int64Counter
 	// Retries counts the attempts of a request after its first.
 	Retries metric.Int64Counter
 	// Credits counts the credits that requests were charged.
@@ -61,16 +63,17 @@
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
 	build := &builder{meter: provider.Meter("jacinthpaddle")}
 	metrics := &Metrics{
-		Requests:      build.counter("requests", "requests answered, by code", "{request}"),
-		Refusals:      build.counter("refusals", "requests refused or failed, by code", "{request}"),
-		Retries:       build.counter("retries", "attempts after the first", "{attempt}"),
-		Credits:       build.counter("credits", "credits charged", "{credit}"),
-		FramesDropped: build.counter("frames_dropped", "frames of another attempt that were dropped", "{frame}"),
-		PlatformCalls: build.counter("platform_calls", "calls to the platform, by operation", "{call}"),
-		FirstByte:     build.histogram("first_byte", "time to the first byte of an answer"),
-		RecordWait:    build.histogram("record_wait", "time until a journal entry was safe"),
-		meter:         build.meter,
-		Handler:       promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		Requests:           build.counter("requests", "requests answered, by code", "{request}"),
+		Refusals:           build.counter("refusals", "requests refused or failed, by code", "{request}"),
+		Retries:            build.counter("retries", "attempts after the first", "{attempt}"),
+		Credits:            build.counter("credits", "credits charged", "{credit}"),
+		FramesDropped:      build.counter("frames_dropped", "frames of another attempt that were dropped", "{frame}"),
+		PlatformCalls:      build.counter("platform_calls", "calls to the platform, by operation", "{call}"),
+		FirstByte:          build.histogram("first_byte", "time to the first byte of an answer"),
+		RecordWait:         build.histogram("record_wait", "time until a journal entry was safe"),
+		ConnectionsRefused: build.counter("connections_refused", "connections refused or replaced, by reason", "{connection}"),
+		meter:              build.meter,
+		Handler:            promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
 	return metrics, errors.Annotate(build.err, "metrics")
 }
@@ -110,6 +113,11 @@
 	return metric.WithAttributes(attribute.String("operation", name))
 }
 
+// Reason returns the attribute for the reason of a refused connection.
+func Reason(name string) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("reason", name))
+}
+
 // Code returns the attribute for the result of a request.
 func Code(code string) metric.MeasurementOption {
 	return metric.WithAttributes(attribute.String("code", code))
--- a/fleet/request/outcome/outcome.go
+++ b/fleet/request/outcome/outcome.go
@@ -55,6 +55,8 @@
 	// Truncated means that the response of the endpoint ended early or was cut off.
 	Truncated Code = "truncated"
 	TimedOut  Code = "timed_out"
+	// Stalled means that the request did not arrive completely in time.
+	Stalled Code = "stalled"
 	// Lost means that the response to an earlier request with the idempotency key is
 	// not available.
 	Lost Code = "lost"
@@ -111,6 +113,8 @@
 		return http.StatusConflict
 	case NoEndpoint, NoRecord, Quarantined:
 		return http.StatusServiceUnavailable
+	case Stalled:
+		return http.StatusRequestTimeout
 	case TimedOut:
 		return http.StatusGatewayTimeout
 	default:
--- a/router/connection/forwardserver/forwardserver.go
+++ b/router/connection/forwardserver/forwardserver.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	mux.Handle("/peer/forward", &forwardserver.Handler{
-//		Self: self, Secret: key, Clock: clock.New(), MaxBodyBytes: 1 << 20, Next: handler.ForwardedHandler(),
+//		Self: self, Secret: key, Clock: clock.New(), Bodies: bodies, Next: handler.ForwardedHandler(),
 //	})
 package forwardserver
 
@@ -18,18 +18,21 @@
 
 	"jacinthpaddle.example/fleet/connection/auth"
 	"jacinthpaddle.example/fleet/connection/forward"
+	"jacinthpaddle.example/fleet/process/buffer"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/secret"
+	"jacinthpaddle.example/fleet/request/intake"
 )
 
 // Handler serves forward.Path. Its fields must not change after the first request.
 type Handler struct {
 	// Self is this process. Requests that were forwarded to another process are refused.
-	Self         ident.Incarnation
-	Secret       secret.Key
-	Clock        clock.Clock
-	MaxBodyBytes int64
+	Self   ident.Incarnation
+	Secret secret.Key
+	Clock  clock.Clock
+	// Bodies reads the bodies of requests.
+	Bodies *intake.Reader
 	// Next serves the original request of the caller.
 	Next http.Handler
 }
@@ -37,7 +40,7 @@
 // ServeHTTP implements http.Handler. A refusal by this handler does not have the header
 // forward.KeyCheckedHeader, since the idempotency key was not checked.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, h.MaxBodyBytes))
+	body, err := h.Bodies.Read(writer, request)
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
@@ -52,7 +55,8 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	inner := request.Clone(forward.WithForwarded(request.Context()))
+	// The body has its memory already.
+	inner := request.Clone(buffer.WithIntake(forward.WithForwarded(request.Context()), nil))
 	inner.Method = original.Method
 	inner.URL = target
 	inner.RequestURI = original.Path
--- a/router/connection/forwardserver/forwardserver_test.go
+++ b/router/connection/forwardserver/forwardserver_test.go
@@ -15,6 +15,7 @@
 	"jacinthpaddle.example/fleet/connection/forward"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/ident"
+	"jacinthpaddle.example/fleet/request/intake"
 	"jacinthpaddle.example/router/connection/forwardserver"
 )
 
@@ -23,7 +24,7 @@
 // newHolder starts a server with the handler under test and returns its address.
 func newHolder(t *testing.T, clk clock.Clock, next http.HandlerFunc) string {
 	t.Helper()
-	handler := &forwardserver.Handler{Self: "b", Secret: secret, Clock: clk, MaxBodyBytes: 1 << 10, Next: next}
+	handler := &forwardserver.Handler{Self: "b", Secret: secret, Clock: clk, Bodies: &intake.Reader{Clock: clk, MaxBytes: 1 << 10}, Next: next}
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
--- a/router/connection/listener/listener.go
+++ b/router/connection/listener/listener.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthpaddle.example/fleet/process/buffer"
 )
 
 // Limits bounds the connections of a listener. A timeout of zero means no timeout, and
@@ -26,6 +28,20 @@
 	ReadHeaderTimeout time.Duration
 	ReadTimeout       time.Duration
 	IdleTimeout       time.Duration
+	// MaxHeaderLines is the maximum number of lines of a head. It applies with Memory.
+	MaxHeaderLines int
+	// Memory accounts for the heads and bodies of requests. Nil is no bound.
+	Memory *buffer.Receiver
+	// Connections bounds the number of connections. It requires Memory. Nil is no bound.
+	Connections *Gate
+	// Refused, if set, is called for each connection that is refused or replaced.
+	Refused func(reason Reason)
+}
+
+func (l *Limits) refused(reason Reason) {
+	if l.Refused != nil {
+		l.Refused(reason)
+	}
 }
 
 // Listener is one open socket and its server.
@@ -57,14 +73,15 @@
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           completeHead(handler),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 	}
-	opened := &Listener{socket: newSocket(inner), server: server}
-	server.ConnState = opened.countUnread
+	opened := &Listener{socket: newSocket(inner, &limits), server: server}
+	server.ConnState = opened.followState
+	server.ConnContext = withConn
 	return opened, nil
 }
 
@@ -91,14 +108,18 @@
 	return l.server.Shutdown(ctx)
 }
 
-// countUnread follows the state of a connection. A connection is new until its first
+// followState follows the state of a connection. A connection is new until its first
 // request was read or it is closed.
-func (l *Listener) countUnread(connection net.Conn, state http.ConnState) {
+func (l *Listener) followState(connection net.Conn, state http.ConnState) {
+	accepted, ok := connection.(*trackedConn)
+	if ok {
+		accepted.follow(state)
+	}
 	switch state {
 	case http.StateNew:
 		l.unread.Add(1)
 	case http.StateActive, http.StateClosed, http.StateHijacked:
-		if accepted, ok := connection.(*trackedConn); ok && accepted.read.CompareAndSwap(false, true) {
+		if ok && accepted.read.CompareAndSwap(false, true) {
 			l.unread.Add(-1)
 		}
 	}
--- a/router/connection/listener/socket.go
+++ b/router/connection/listener/socket.go
@@ -4,7 +4,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,6 +22,7 @@
 // those that are reset when the socket closes.
 type socket struct {
 	net.Listener
+	limits *Limits
 	// stopping is closed when the socket is to accept only what the kernel has
 	// established.
 	stopping chan struct{}
@@ -35,16 +35,10 @@
 	closeOnce  sync.Once
 }
 
-// trackedConn is an accepted connection.
-type trackedConn struct {
-	net.Conn
-	// read is set once the first request was read or the connection is closed.
-	read atomic.Bool
-}
-
-func newSocket(inner net.Listener) *socket {
+func newSocket(inner net.Listener, limits *Limits) *socket {
 	return &socket{
 		Listener:   inner,
+		limits:     limits,
 		stopping:   make(chan struct{}),
 		stopped:    make(chan struct{}),
 		closed:     make(chan struct{}),
@@ -86,14 +80,46 @@
 	}
 }
 
-// Accept implements net.Listener. It is called by one goroutine.
+// Accept implements net.Listener. It is called by one goroutine. A connection for which
+// there is no room is closed.
 func (s *socket) Accept() (net.Conn, error) {
+	for {
+		accepted, err := s.acceptNext()
+		if err != nil {
+			return nil, err
+		}
+		if s.admit(accepted) {
+			return accepted, nil
+		}
+	}
+}
+
+// admit finds room for a connection, and closes the one that it replaces, or itself.
+func (s *socket) admit(accepted *trackedConn) bool {
+	if s.limits.Connections == nil {
+		return true
+	}
+	replaced, ok := s.limits.Connections.admit(accepted)
+	if !ok {
+		s.limits.refused(NoConnection)
+		_ = accepted.Close()
+		return false
+	}
+	if replaced != nil {
+		s.limits.refused(Replaced)
+		_ = replaced.Conn.Close()
+	}
+	return true
+}
+
+// acceptNext returns the next connection.
+func (s *socket) acceptNext() (*trackedConn, error) {
 	if s.isStopping() {
 		s.setDeadline()
 	}
 	accepted, err := s.Listener.Accept()
 	if err == nil {
-		return &trackedConn{Conn: accepted}, nil
+		return newTrackedConn(accepted, s.limits), nil
 	}
 	if !s.isStopping() {
 		return nil, err
--- a/router/process/node/adapter.go
+++ b/router/process/node/adapter.go
@@ -13,6 +13,7 @@
 	"jacinthpaddle.example/fleet/process/platform"
 	"jacinthpaddle.example/fleet/process/store"
 	"jacinthpaddle.example/fleet/process/vm"
+	"jacinthpaddle.example/fleet/request/intake"
 	"jacinthpaddle.example/fleet/request/serve"
 	"jacinthpaddle.example/fleet/version/snapshot"
 )
@@ -45,9 +46,11 @@
 	Metrics        *meter.Metrics
 	ActiveSnapshot *current.Value[*snapshot.Snapshot]
 	Runner         *serve.Runner
-	Listen         ListenSettings
-	Limits         LimitSettings
-	Locate         LocateSettings
+	// Bodies reads the bodies of requests.
+	Bodies *intake.Reader
+	Listen ListenSettings
+	Limits LimitSettings
+	Locate LocateSettings
 	// Members returns the members in the view of this process. It is safe for
 	// concurrent use, and its result must not be changed.
 	Members func() []member.Member
@@ -110,6 +113,7 @@
 		Metrics:        n.metrics,
 		ActiveSnapshot: n.state.ActiveSnapshot,
 		Runner:         n.runner,
+		Bodies:         n.intake.bodies,
 		Listen:         n.Settings.Listen,
 		Limits:         n.Settings.Limits,
 		Locate:         n.Settings.Locate,
--- a/router/process/node/check.go
+++ b/router/process/node/check.go
@@ -29,10 +29,14 @@
 	c.require(value > 0, section, key, "must be more than zero")
 }
 
-// Smallest VM on which a router runs.
+// Smallest and largest VM on which a router runs.
 const (
-	MinMemoryMB    = 64
-	MinDescriptors = 300
+	MinMemoryMB    = 32
+	MinDescriptors = 240
+	MaxMemoryMB    = 64 << 20
+	MaxDescriptors = 1 << 30
+	// MinConnections is the smallest maximum number of connections of callers.
+	MinConnections = 16
 )
 
 // MinBound is the shortest bound on the time until a change of the store is in force.
@@ -63,8 +67,10 @@
 	check.require(s.VM.Region != "", "vm", "region", "is missing")
 	check.require(s.VM.AvailabilityZone != "", "vm", "availability_zone", "is missing")
 	check.require(s.VM.Cores > 0, "vm", "cores", "must be more than zero")
-	check.require(s.VM.MemoryMB == 0 || s.VM.MemoryMB >= MinMemoryMB, "vm", "memory_mb", fmt.Sprintf("must be 0 or at least %d", MinMemoryMB))
-	check.require(s.VM.Descriptors == 0 || s.VM.Descriptors >= MinDescriptors, "vm", "descriptors", fmt.Sprintf("must be 0 or at least %d", MinDescriptors))
+	check.require(s.VM.MemoryMB == 0 || s.VM.MemoryMB >= MinMemoryMB && s.VM.MemoryMB <= MaxMemoryMB,
+		"vm", "memory_mb", fmt.Sprintf("must be 0 or from %d to %d", MinMemoryMB, MaxMemoryMB))
+	check.require(s.VM.Descriptors == 0 || s.VM.Descriptors >= MinDescriptors && s.VM.Descriptors <= MaxDescriptors,
+		"vm", "descriptors", fmt.Sprintf("must be 0 or from %d to %d", MinDescriptors, MaxDescriptors))
 	check.require(s.VM.CPUShare > 0, "vm", "cpu_share", "must be more than zero")
 	_, _, err = net.SplitHostPort(s.Platform.Address)
 	check.require(err == nil, "platform", "address", "must be host:port")
@@ -94,6 +100,11 @@
 	check.within(int64(s.Limits.MaxHeaderBytes), 1<<10, 1<<20, "limits", "max_header_bytes")
 	check.within(s.Limits.MaxResponseBytes, 1<<10, 256<<20, "limits", "max_answer_bytes")
 	check.within(s.Limits.MaxBufferedBytes, 1<<20, 64<<30, "limits", "max_buffered_bytes")
+	check.require(s.Limits.MaxReceivedBytes == 0 || s.Limits.MaxReceivedBytes >= 1<<20 && s.Limits.MaxReceivedBytes <= s.Limits.MaxBufferedBytes,
+		"limits", "max_received_bytes", "must be 0 or from 1048576 to max_buffered_bytes")
+	check.within(int64(s.Limits.MaxHeaderLines), 64, 1<<20, "limits", "max_header_lines")
+	check.require(s.Limits.MaxConnections == 0 || s.Limits.MaxConnections >= MinConnections && s.Limits.MaxConnections <= 1<<20,
+		"limits", "max_connections", fmt.Sprintf("must be 0 or from %d to %d", MinConnections, 1<<20))
 	check.within(int64(s.Limits.MaxConcurrent), 1, 1<<20, "limits", "max_concurrent")
 	check.within(int64(s.Quota.Holders), 1, 64, "rights", "holders")
 	check.within(int64(s.Quota.SharePercent), 1, 100*int64(s.Quota.Holders), "rights", "share_percent")
@@ -122,6 +133,7 @@
 	check.positive(s.Retries.Window, "retries", "window")
 	check.positive(s.Limits.ReadHeaderTimeout, "limits", "read_header_timeout")
 	check.positive(s.Limits.ReadBodyTimeout, "limits", "read_body_timeout")
+	check.positive(s.Limits.BodyStallTimeout, "limits", "body_stall_timeout")
 	check.positive(s.Limits.DrainTimeout, "limits", "drain_timeout")
 	check.positive(s.Limits.MaxQueueWait, "limits", "max_queue_wait")
 	check.positive(s.Quota.Horizon, "rights", "horizon")
--- a/router/process/node/idempotency.go
+++ b/router/process/node/idempotency.go
@@ -39,11 +39,11 @@
 // forwardedHandler returns the handler for requests that other routers forward.
 func (n *Node) forwardedHandler() http.Handler {
 	return &forwardserver.Handler{
-		Self:         n.Self,
-		Secret:       secret.Key(n.Settings.Fleet.Secret),
-		Clock:        n.Clock,
-		MaxBodyBytes: n.Settings.Limits.MaxBodyBytes,
-		Next:         n.frontend.ForwardedHandler(),
+		Self:   n.Self,
+		Secret: secret.Key(n.Settings.Fleet.Secret),
+		Clock:  n.Clock,
+		Bodies: n.intake.bodies,
+		Next:   n.frontend.ForwardedHandler(),
 	}
 }
 
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -120,6 +120,7 @@
 	frontend    *frontend.Handler
 	idempotency idempotencyComponents
 	locator     *locator
+	intake      intakeComponents
 	metrics     *meter.Metrics
 	listeners   listeners
 	// loadedSettings are the settings of the last reload. Settings are those at start.
@@ -161,6 +162,7 @@
 	}
 	node.ctx, node.stop = context.WithCancel(context.Background())
 	node.platform = node.newPlatform()
+	node.setUpIntake()
 	node.setUpControl()
 	node.setUpRequests()
 	if err := metrics.ObservePeers(node.peerBytes); err != nil {
@@ -223,13 +225,7 @@
 }
 
 func (n *Node) listen() error {
-	limits := listener.Limits{
-		MaxHeaderBytes:    n.Settings.Limits.MaxHeaderBytes,
-		ReadHeaderTimeout: n.Settings.Limits.ReadHeaderTimeout,
-		ReadTimeout:       n.Settings.Limits.ReadBodyTimeout,
-		IdleTimeout:       IdleTimeout,
-	}
-	internalLimits := listener.Limits{ReadHeaderTimeout: n.Settings.Limits.ReadHeaderTimeout}
+	limits := n.callerLimits()
 	var err error
 	ports := n.Settings.Listen
 	for _, callerFrontend := range n.callerFrontends() {
@@ -239,13 +235,13 @@
 		}
 		n.listeners.callers = append(n.listeners.callers, opened)
 	}
-	if n.listeners.peers, err = listener.Open(n.Settings.HostPort(ports.PeerPort), internalLimits, n.peerMux()); err != nil {
+	if n.listeners.peers, err = listener.Open(n.Settings.HostPort(ports.PeerPort), n.internalLimits(), n.peerMux()); err != nil {
 		return err
 	}
-	if n.listeners.operators, err = listener.Open(n.Settings.HostPort(ports.OperatorsPort), internalLimits, n.operatorsMux()); err != nil {
+	if n.listeners.operators, err = listener.Open(n.Settings.HostPort(ports.OperatorsPort), n.internalLimits(), n.operatorsMux()); err != nil {
 		return err
 	}
-	n.listeners.metrics, err = listener.Open(n.Settings.HostPort(ports.MetricsPort), internalLimits, n.metrics.Handler)
+	n.listeners.metrics, err = listener.Open(n.Settings.HostPort(ports.MetricsPort), n.internalLimits(), n.metrics.Handler)
 	return err
 }
 
--- a/router/process/node/settings.go
+++ b/router/process/node/settings.go
@@ -40,9 +40,9 @@
 	CPUShare float64 `ini:"cpu_share"`
 	// MemoryMB is the memory of the VM in units of 1,048,576 bytes, or zero if it is not
 	// known.
-	MemoryMB int64 `ini:"memory_mb"`
+	MemoryMB float64 `ini:"memory_mb"`
 	// Descriptors is the number of file descriptors of the VM, or zero if it is not known.
-	Descriptors int `ini:"descriptors"`
+	Descriptors float64 `ini:"descriptors"`
 }
 
 // ListenSettings has the TCP ports on the VM's address, and separate addresses for the
@@ -112,10 +112,20 @@
 	MaxResponseBytes int64 `ini:"max_answer_bytes"`
 	// MaxBufferedBytes bounds the memory that all responses occupy while they are read.
 	MaxBufferedBytes int64 `ini:"max_buffered_bytes"`
+	// MaxReceivedBytes bounds the part of that memory that requests occupy. Zero is a third
+	// of it.
+	MaxReceivedBytes int64 `ini:"max_received_bytes"`
+	// MaxHeaderLines is the maximum number of lines of a request's header.
+	MaxHeaderLines int `ini:"max_header_lines"`
+	// MaxConnections is the maximum number of connections of callers. Zero is a number
+	// that follows from the VM.
+	MaxConnections int `ini:"max_connections"`
 	// MaxConcurrent is the maximum number of requests in progress.
 	MaxConcurrent     int           `ini:"max_concurrent"`
 	ReadHeaderTimeout time.Duration `ini:"read_header_timeout"`
 	ReadBodyTimeout   time.Duration `ini:"read_body_timeout"`
+	// BodyStallTimeout bounds the time without any byte of a body that is read.
+	BodyStallTimeout time.Duration `ini:"body_stall_timeout"`
 	// DrainTimeout bounds the wait for the requests in progress during a drain.
 	DrainTimeout time.Duration `ini:"drain_timeout"`
 	// CloseTimeout bounds the return of the quota and the last journal write of a drain.
@@ -215,9 +225,11 @@
 			MaxHeaderBytes:    16 << 10,
 			MaxResponseBytes:  16 << 20,
 			MaxBufferedBytes:  64 << 20,
+			MaxHeaderLines:    16 << 10,
 			MaxConcurrent:     1024,
 			ReadHeaderTimeout: 5 * time.Second,
 			ReadBodyTimeout:   30 * time.Second,
+			BodyStallTimeout:  10 * time.Second,
 			DrainTimeout:      2 * time.Minute,
 			CloseTimeout:      CloseTimeout,
 			MaxQueueWait:      time.Second,
--- a/router/process/node/wire.go
+++ b/router/process/node/wire.go
@@ -6,7 +6,6 @@
 
 	"jacinthpaddle.example/fleet/connection/forward"
 	"jacinthpaddle.example/fleet/connection/peer"
-	"jacinthpaddle.example/fleet/process/buffer"
 	"jacinthpaddle.example/fleet/process/control"
 	"jacinthpaddle.example/fleet/process/event"
 	"jacinthpaddle.example/fleet/process/operatorapi"
@@ -32,7 +31,7 @@
 		Slots:         serve.NewSlots(n.Clock, n.state.Endpoints, n.Settings.Limits.MaxQueueWait),
 		Picker:        balancer.New(balancer.Defaults(n.Settings.Locality()), random.New()),
 		Prompts:       NewPromptMonitor(n.thread, n.state.PromptView),
-		Buffers:       &buffer.Pool{Capacity: n.Settings.Limits.MaxBufferedBytes},
+		Buffers:       n.intake.buffers,
 		RetryPolicy:   retry.Defaults(),
 		RetryBudgets:  n.state.Retries,
 		Limits: serve.Limits{
@@ -58,10 +57,10 @@
 		Log:            n.Log,
 		Metrics:        n.metrics,
 		Limits: frontend.Limits{
-			MaxBodyBytes:     n.Settings.Limits.MaxBodyBytes,
 			MaxResponseBytes: n.Settings.Limits.MaxResponseBytes,
 			MaxConcurrent:    int64(n.Settings.Limits.MaxConcurrent),
 		},
+		Bodies:   n.intake.bodies,
 		Stopping: n.stopping.Load,
 	})
 }
--- a/router/request/frontend/frontend.go
+++ b/router/request/frontend/frontend.go
@@ -30,6 +30,7 @@
 	"jacinthpaddle.example/fleet/process/meter"
 	"jacinthpaddle.example/fleet/request/admission"
 	"jacinthpaddle.example/fleet/request/idempotency"
+	"jacinthpaddle.example/fleet/request/intake"
 	"jacinthpaddle.example/fleet/request/locate"
 	"jacinthpaddle.example/fleet/request/outcome"
 	"jacinthpaddle.example/fleet/request/serve"
@@ -55,7 +56,6 @@
 
 // Limits bounds requests and responses.
 type Limits struct {
-	MaxBodyBytes int64
 	// MaxResponseBytes bounds the body of a response that is not streamed.
 	MaxResponseBytes int64
 	// MaxConcurrent is the maximum number of requests in progress.
@@ -67,6 +67,8 @@
 	Self           ident.Incarnation
 	ActiveSnapshot *current.Value[*snapshot.Snapshot]
 	Runner         *serve.Runner
+	// Bodies reads the bodies of requests.
+	Bodies *intake.Reader
 	// Executor runs requests with an idempotency key.
 	Executor *idempotency.Executor
 	// Forwarder forwards requests whose idempotency key is held by another router.
--- a/router/request/frontend/handle.go
+++ b/router/request/frontend/handle.go
@@ -3,17 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
-	"github.com/juju/errors"
-
 	"jacinthpaddle.example/fleet/connection/endpoint"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/meter"
 	"jacinthpaddle.example/fleet/request/admission"
 	"jacinthpaddle.example/fleet/request/chat"
+	"jacinthpaddle.example/fleet/request/intake"
 	"jacinthpaddle.example/fleet/request/locate"
 	"jacinthpaddle.example/fleet/request/outcome"
 	"jacinthpaddle.example/fleet/request/serve"
@@ -167,14 +165,9 @@
 }
 
 func (h *Handler) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, h.Limits.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		reason := fmt.Sprintf("is larger than %d bytes", tooLarge.Limit)
-		return nil, refusal(outcome.TooLarge, "request", "body", reason)
-	}
+	body, err := h.Bodies.Read(writer, request)
 	if err != nil {
-		return nil, refusal(outcome.BadRequest, "request", "body", "could not be read: "+err.Error())
+		return nil, intake.Refusal(err)
 	}
 	return body, nil
 }
--- a/router/request/frontend/idempotency_test.go
+++ b/router/request/frontend/idempotency_test.go
@@ -31,6 +31,7 @@
 	"jacinthpaddle.example/fleet/process/vm"
 	"jacinthpaddle.example/fleet/request/balancer"
 	"jacinthpaddle.example/fleet/request/idempotency"
+	"jacinthpaddle.example/fleet/request/intake"
 	"jacinthpaddle.example/fleet/request/locate"
 	"jacinthpaddle.example/fleet/request/retry"
 	"jacinthpaddle.example/fleet/request/serve"
@@ -128,6 +129,7 @@
 	table := endpoint.NewTable(endpoint.Defaults(vm.Locality{}, self), clk)
 	table.Update([]vm.VM{{Name: "e", Address: "127.0.0.1", Pool: "desks", State: vm.Live}}, config.Set.Pools)
 	limits := idempotency.DefaultLimits()
+	bodies := &intake.Reader{Clock: clk, MaxBytes: 1 << 20}
 	handler := frontend.New(frontend.Deps{
 		Self:           self,
 		ActiveSnapshot: active,
@@ -145,13 +147,14 @@
 		Forwarder: forward.NewClient(forward.Settings{Secret: fleetSecret, Clock: clk, Address: f.address}),
 		Log:       log,
 		Metrics:   metrics,
-		Limits:    frontend.Limits{MaxBodyBytes: 1 << 20, MaxResponseBytes: 1 << 20, MaxConcurrent: 8},
+		Limits:    frontend.Limits{MaxResponseBytes: 1 << 20, MaxConcurrent: 8},
+		Bodies:    bodies,
 		Stopping:  f.stopping.Load,
 	})
 	f.handlers[index] = handler
 	f.routers[index] = httptest.NewServer(handler)
 	f.peers[index] = httptest.NewServer(&forwardserver.Handler{
-		Self: self, Secret: fleetSecret, Clock: clk, MaxBodyBytes: 1 << 20, Next: handler.ForwardedHandler(),
+		Self: self, Secret: fleetSecret, Clock: clk, Bodies: bodies, Next: handler.ForwardedHandler(),
 	})
 	t.Cleanup(f.routers[index].Close)
 	t.Cleanup(f.peers[index].Close)
