--- a/router/process/node/resources.go
+++ b/router/process/node/resources.go
@@ -98,6 +98,10 @@
 	refusals *event.Sampler
 }
 
+// forwardedHeaderBytes is more than what a router adds to the header of a request that it
+// forwards.
+const forwardedHeaderBytes = 4 << 10
+
 // refusalsLoggedPerSecond bounds the log lines about refused connections.
 const refusalsLoggedPerSecond = 5
 
@@ -137,6 +141,7 @@
 // internalLimits returns the limits of a listener for peers or operators.
 func (n *Node) internalLimits() listener.Limits {
 	return listener.Limits{
+		MaxHeaderBytes:    n.Settings.Limits.MaxHeaderBytes + forwardedHeaderBytes,
 		ReadHeaderTimeout: n.Settings.Limits.ReadHeaderTimeout,
 		MaxHeaderLines:    n.Settings.Limits.MaxHeaderLines,
 		Memory:            n.intake.received,
