--- a/proof/process/harness/client.go
+++ b/proof/process/harness/client.go
@@ -28,6 +28,8 @@
 	Key    string
 	Body   string
 	Header http.Header
+	// Host replaces the address as the host of the request, if it is set.
+	Host string
 	// OnFirstFrame, if set, is called at the first frame of a streamed response.
 	OnFirstFrame func()
 }
@@ -103,6 +105,9 @@
 	for name, values := range call.Header {
 		request.Header[name] = values
 	}
+	if call.Host != "" {
+		request.Host = call.Host
+	}
 	if call.Key != "" {
 		request.Header.Set("Authorization", "Bearer "+call.Key)
 	}
--- a/proof/process/harness/fleet.go
+++ b/proof/process/harness/fleet.go
@@ -17,7 +17,9 @@
 // Ports on which the processes listen.
 const (
 	callerPort    = "7070"
+	peerPort      = "7071"
 	operatorsPort = "7072"
+	metricsPort   = "7073"
 	EndpointPort  = "8000"
 	PlatformPort  = "9100"
 )
@@ -100,7 +102,7 @@
 	for _, endpoint := range f.Endpoints {
 		args := []string{"endpoint", "--listen", endpoint.VM.Address + ":" + EndpointPort, "--name", endpoint.VM.Name}
 		endpoint.process = startProcess(t, endpoint.VM.Name, program("standin"), append(args, plan.EndpointFlags...)...)
-		Await(t, endpoint.VM.Name+" to respond", func() bool { return respondsOK(endpoint.URL("/load")) })
+		Await(t, endpoint.VM.Name+" to respond", func() bool { return RespondsOK(endpoint.URL("/load")) })
 	}
 	for index := range f.Routers {
 		f.StartRouter(t, index)
@@ -149,7 +151,7 @@
 		"platform", "--listen", f.OwnPlatformAddress(), "--vms", path)
 	f.objects = platform.New(clock.New(), platform.Config{Address: f.OwnPlatformAddress()})
 	t.Cleanup(f.objects.Close)
-	Await(t, "the platform to respond", func() bool { return respondsOK("http://" + f.OwnPlatformAddress() + "/vms") })
+	Await(t, "the platform to respond", func() bool { return RespondsOK("http://" + f.OwnPlatformAddress() + "/vms") })
 }
 
 // StartRouter starts a new process on the VM of a router and waits until it responds
@@ -159,7 +161,7 @@
 	router := f.Routers[index]
 	path := f.WriteSettings(t, index, "")
 	router.Process = startProcess(f.test, router.VM.Name, program("router"), "run", "--settings", path)
-	Await(t, router.VM.Name+" to respond", func() bool { return respondsOK(router.operatorsURL("/status")) })
+	Await(t, router.VM.Name+" to respond", func() bool { return RespondsOK(router.operatorsURL("/status")) })
 }
 
 // WriteSettings writes the settings file of a router, with the extra text appended,
--- a/proof/process/harness/main.go
+++ b/proof/process/harness/main.go
@@ -41,7 +41,7 @@
 		return 1
 	}
 	defer func() { _ = claim.Close() }()
-	modules := []string{"jacinthpaddle.example/router", "jacinthpaddle.example/jacinth", "jacinthpaddle.example/standin"}
+	modules := []string{"jacinthpaddle.example/router", "jacinthpaddle.example/jacinth", "jacinthpaddle.example/standin", "jacinthpaddle.example/platform"}
 	build := exec.Command("go", append([]string{"build", "-o", folder}, modules...)...)
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, output)
--- a/proof/process/harness/operate.go
+++ b/proof/process/harness/operate.go
@@ -64,8 +64,8 @@
 	State vm.State `json:"state"`
 }
 
-// respondsOK reports whether a GET request to the URL returns status 200.
-func respondsOK(url string) bool {
+// RespondsOK reports whether a GET request to the URL returns status 200.
+func RespondsOK(url string) bool {
 	response, err := operatorClient.Get(url)
 	if err != nil {
 		return false
--- a/proof/untrusted_callers_test.go
+++ b/proof/untrusted_callers_test.go
@@ -99,6 +99,14 @@
 	checkAnswered(t, callers.Do(t.Context(), 0, harness.ServiceCall(harness.HallKey, "balance", "beside")))
 	crowd.Leave()
 	checkAnswered(t, callers.Do(t.Context(), 0, harness.ServiceCall(harness.HallKey, "balance", "after")))
+	checkResources(t, test, monitor)
+	read := f.AwaitBills(t, 0)
+	read.Check(t)
+}
+
+// checkResources ends the observation and checks that the process runs within its bounds.
+func checkResources(t *testing.T, test crowdTest, monitor *harness.ResourceMonitor) {
+	t.Helper()
 	got := monitor.Stop(t)
 	t.Logf("memory at rest %d KiB, peak %d KiB, peak of sockets %d", monitor.RestBytes>>10, got.PeakBytes>>10, got.PeakSockets)
 	if !got.Running {
@@ -113,8 +121,6 @@
 	if got.PeakSockets > maxSockets {
 		t.Errorf("peak of sockets: got %d, want at most %d", got.PeakSockets, maxSockets)
 	}
-	read := f.AwaitBills(t, 0)
-	read.Check(t)
 }
 
 // newCrowdFleet starts a fleet whose router has the VM of the tests.
