chat: Count the messages of a request instead of keeping them

Cause: a chat completion of very many messages took a multiple of its size: 53 MB were allocated for a body of 1 MiB, and a crowd of 300 took 53 to 78 MB on a VM of 64 MB.

Change: the parser keeps the first message and the number of all, and large completions are parsed one at a time. FuzzMessages compares the count with that of a decoder.

--- a/fleet/request/chat/body.go
+++ b/fleet/request/chat/body.go
@@ -35,13 +35,13 @@
 }
 
 type requestFields struct {
-	Model               string            `json:"model"`
-	Messages            []json.RawMessage `json:"messages"`
-	MaxTokens           *int64            `json:"max_tokens"`
-	MaxCompletionTokens *int64            `json:"max_completion_tokens"`
-	Stream              bool              `json:"stream"`
-	StreamOptions       *streamOptions    `json:"stream_options"`
-	Choices             *int64            `json:"n"`
+	Model               string         `json:"model"`
+	Messages            messageList    `json:"messages"`
+	MaxTokens           *int64         `json:"max_tokens"`
+	MaxCompletionTokens *int64         `json:"max_completion_tokens"`
+	Stream              bool           `json:"stream"`
+	StreamOptions       *streamOptions `json:"stream_options"`
+	Choices             *int64         `json:"n"`
 }
 
 type streamOptions struct {
@@ -57,7 +57,7 @@
 	if parsed.Model == "" {
 		return Request{}, invalidField("model", "is missing")
 	}
-	if len(parsed.Messages) == 0 {
+	if parsed.Messages.count == 0 {
 		return Request{}, invalidField("messages", "is missing or empty")
 	}
 	if parsed.Choices != nil && *parsed.Choices != 1 {
@@ -69,11 +69,11 @@
 	}
 	request := Request{
 		Model:        parsed.Model,
-		Messages:     len(parsed.Messages),
+		Messages:     parsed.Messages.count,
 		MaxOutput:    limit,
 		Stream:       parsed.Stream,
 		IncludeUsage: parsed.StreamOptions != nil && parsed.StreamOptions.IncludeUsage,
-		firstMessage: parsed.Messages[0],
+		firstMessage: parsed.Messages.first,
 		size:         len(raw),
 	}
 	if err := json.Unmarshal(raw, &request.fields); err != nil {
--- a/fleet/request/chat/fuzz_test.go
+++ b/fleet/request/chat/fuzz_test.go
@@ -1,6 +1,7 @@
 package chat_test
 
 import (
+	"encoding/json"
 	"testing"
 
 	"jacinthpaddle.example/fleet/request/chat"
@@ -27,3 +28,24 @@
 		}
 	})
 }
+
+// FuzzMessages compares the count of messages with that of a decoder.
+func FuzzMessages(f *testing.F) {
+	for _, seed := range []string{`[]`, `[ ]`, `["a,]\"",{"b":[1,2]},[],"\\"]`, `[1 , "]"]`, `null`, `[[[,]]]`} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, messages string) {
+		var decoded struct {
+			Messages []json.RawMessage `json:"messages"`
+		}
+		raw := []byte(`{"model":"m","messages":` + messages + `}`)
+		failed := json.Unmarshal(raw, &decoded)
+		request, err := chat.ParseRequest(raw)
+		if err != nil {
+			return
+		}
+		if failed != nil || request.Messages != len(decoded.Messages) {
+			t.Errorf("got %d messages, want %d and %v", request.Messages, len(decoded.Messages), failed)
+		}
+	})
+}
--- a/proof/process/harness/crowd.go
+++ b/proof/process/harness/crowd.go
@@ -35,6 +35,9 @@
 	LargeHeads CrowdKind = "large_heads"
 	// EndlessHeads sends header lines until its connection is closed.
 	EndlessHeads CrowdKind = "endless_heads"
+	// ManyMessages sends complete chat completions of the maximum size with very many empty
+	// messages. It is not among CrowdKinds, since only the router parses bodies.
+	ManyMessages CrowdKind = "many_messages"
 	// EmptyLines sends empty lines before a request until its connection is closed.
 	EmptyLines CrowdKind = "empty_lines"
 )
@@ -177,6 +180,8 @@
 		return c.writePieces(connection)
 	case EndlessChunks:
 		return c.writeChunks(connection)
+	case ManyMessages:
+		return writeAll(connection, c.chatOfManyMessages())
 	case LargeHeads:
 		return writeAll(connection, head("X-Large: "+strings.Repeat("x", 2*c.MaxHeaderBytes)+"\r\n")+"\r\n")
 	case EndlessHeads:
@@ -198,6 +203,15 @@
 // CrowdLinesBodyBytes is the announced length of the bodies of ShortLines and OddLines.
 const CrowdLinesBodyBytes = 16
 
+// chatOfManyMessages returns a chat completion whose body has the maximum size.
+func (c *Crowd) chatOfManyMessages() string {
+	const start, end = `{"model":"small","max_tokens":1,"messages":[`, `0]}`
+	count := (c.MaxBodyBytes - len(start) - len(end)) / len("0,")
+	body := start + strings.Repeat("0,", count) + end
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: hall\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		HallKey, len(body), body)
+}
+
 // headMargin is left free in a legal head for the lines beside those of the crowd.
 const headMargin = 512
 
--- a/proof/untrusted_callers_test.go
+++ b/proof/untrusted_callers_test.go
@@ -79,6 +79,10 @@
 	testCrowd(t, crowdTest{network: 70, kinds: harness.CrowdKinds(), clients: mixedCrowdClients})
 }
 
+func TestCrowdOfManyMessages(t *testing.T) {
+	testCrowd(t, crowdTest{network: 72, kinds: []harness.CrowdKind{harness.ManyMessages}, clients: crowdClients})
+}
+
 // testCrowd sends a crowd to a router, and ordinary requests beside it and after it.
 func testCrowd(t *testing.T, test crowdTest) {
 	t.Helper()
--- a/router/request/frontend/frontend.go
+++ b/router/request/frontend/frontend.go
@@ -20,6 +20,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"jacinthpaddle.example/fleet/connection/forward"
@@ -87,6 +88,8 @@
 	Deps
 	mux        *http.ServeMux
 	inProgress atomic.Int64
+	// parsing is held while a large chat completion is parsed.
+	parsing sync.Mutex
 }
 
 // New returns a handler with the dependencies.
--- a/router/request/frontend/handle.go
+++ b/router/request/frontend/handle.go
@@ -33,7 +33,7 @@
 		h.refuse(writer, request, err)
 		return
 	}
-	body, err := chat.ParseRequest(raw)
+	body, err := h.parseChat(raw)
 	if err != nil {
 		h.refuse(writer, request, err)
 		return
@@ -60,6 +60,19 @@
 	h.runBuffered(writer, request, job, raw)
 }
 
+// largeChatBytes is the size from which chat completions are parsed one at a time.
+const largeChatBytes = 64 << 10
+
+// parseChat parses a chat completion. A large one of very many messages takes a multiple
+// of its size while it is parsed.
+func (h *Handler) parseChat(raw []byte) (chat.Request, error) {
+	if len(raw) > largeChatBytes {
+		h.parsing.Lock()
+		defer h.parsing.Unlock()
+	}
+	return chat.ParseRequest(raw)
+}
+
 func (h *Handler) chatJob(plan admission.Plan, body chat.Request) (serve.Job, error) {
 	encoded, err := body.EncodeForEndpoint(plan.Target, plan.MaxOutput)
 	if err != nil {
