--- a/fleet/process/buffer/buffer.go
+++ b/fleet/process/buffer/buffer.go
@@ -1,7 +1,8 @@
-// Package buffer bounds the memory that all responses of a process occupy while they are
-// read. A bound for each response alone is not enough: endpoints in trouble may send many
-// bodies without end at one time.
+// Package buffer bounds the memory that all requests and responses of a process occupy. A
+// bound for each of them alone is not enough: endpoints in trouble may send many bodies
+// without end at one time, and callers many requests that never end.
 //
+// Responses hold leases, requests hold intakes of a Receiver, which is a part of the pool.
 // A lease may grow to as much as stays free beside it. One large response gets half of the
 // pool, many get less each, and small ones always find room.
 //
@@ -13,6 +14,13 @@
 //	if err := lease.Resize(int64(len(body))); err != nil {
 //		return err // *buffer.FullError
 //	}
+//
+//	receiver := &buffer.Receiver{Pool: pool, Capacity: 20 << 20, Clock: clock.New()}
+//	intake := receiver.Open(remoteIP, func() { _ = conn.SetReadDeadline(time.Unix(0, 1)) })
+//	defer intake.Close()
+//	if err := intake.Grow(int64(len(received))); err != nil {
+//		return err // *buffer.FullError or *buffer.RevokedError
+//	}
 package buffer
 
 import (
@@ -24,7 +32,7 @@
 // below it.
 const FreeBytes = 64 << 10
 
-// Pool is the memory for all leases. It is safe for concurrent use.
+// Pool is the memory for all leases and intakes. It is safe for concurrent use.
 type Pool struct {
 	// Capacity is the size of the pool in bytes.
 	Capacity int64
@@ -50,7 +58,7 @@
 	return fmt.Sprintf("no memory for a response of %d bytes: %d free", e.Size, e.Free)
 }
 
-// Used returns the bytes that all leases hold.
+// Used returns the bytes that all leases and intakes hold.
 func (p *Pool) Used() int64 {
 	return p.used.Load()
 }
