--- a/router/request/frontend/handle.go
+++ b/router/request/frontend/handle.go
@@ -3,17 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
-	"github.com/juju/errors"
-
 	"jacinthpaddle.example/fleet/connection/endpoint"
 	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/meter"
 	"jacinthpaddle.example/fleet/request/admission"
 	"jacinthpaddle.example/fleet/request/chat"
+	"jacinthpaddle.example/fleet/request/intake"
 	"jacinthpaddle.example/fleet/request/locate"
 	"jacinthpaddle.example/fleet/request/outcome"
 	"jacinthpaddle.example/fleet/request/serve"
@@ -35,7 +33,7 @@
 		h.refuse(writer, request, err)
 		return
 	}
-	body, err := chat.ParseRequest(raw)
+	body, err := h.parseChat(raw)
 	if err != nil {
 		h.refuse(writer, request, err)
 		return
@@ -62,6 +60,19 @@
 	h.runBuffered(writer, request, job, raw)
 }
 
+// largeChatBytes is the size from which chat completions are parsed one at a time.
+const largeChatBytes = 64 << 10
+
+// parseChat parses a chat completion. A large one of very many messages takes a multiple
+// of its size while it is parsed.
+func (h *Handler) parseChat(raw []byte) (chat.Request, error) {
+	if len(raw) > largeChatBytes {
+		h.parsing.Lock()
+		defer h.parsing.Unlock()
+	}
+	return chat.ParseRequest(raw)
+}
+
 func (h *Handler) chatJob(plan admission.Plan, body chat.Request) (serve.Job, error) {
 	encoded, err := body.EncodeForEndpoint(plan.Target, plan.MaxOutput)
 	if err != nil {
@@ -167,14 +178,9 @@
 }
 
 func (h *Handler) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, h.Limits.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		reason := fmt.Sprintf("is larger than %d bytes", tooLarge.Limit)
-		return nil, refusal(outcome.TooLarge, "request", "body", reason)
-	}
+	body, err := h.Bodies.Read(writer, request)
 	if err != nil {
-		return nil, refusal(outcome.BadRequest, "request", "body", "could not be read: "+err.Error())
+		return nil, intake.Refusal(err)
 	}
 	return body, nil
 }
