--- a/fleet/process/quota/cluster_test.go
+++ b/fleet/process/quota/cluster_test.go
@@ -77,6 +77,8 @@
 type cluster struct {
 	// supplied reports that the first running node is the supplier of all others.
 	supplied bool
+	// drawers reports that the first two running nodes are the suppliers of all.
+	drawers bool
 	// homes reports that all running nodes can be the home of the budget.
 	homes     bool
 	now       time.Time
@@ -89,7 +91,7 @@
 }
 
 func newCluster(nodes int, purchased int64, policy quota.SizingPolicy) *cluster {
-	c := &cluster{now: time.Unix(0, 0), purchased: purchased, supplied: policy == policies["supplied"], homes: policy == policies["homes"]}
+	c := &cluster{now: time.Unix(0, 0), purchased: purchased, supplied: policy == policies["supplied"], drawers: policy == policies["drawers"], homes: policy == policies["homes"]}
 	for range nodes {
 		c.add(policy)
 	}
@@ -125,6 +127,12 @@
 		if c.supplied {
 			n.manager.SetSupply(c.supply(n))
 		}
+		if c.drawers {
+			suppliers := c.firstRunning(2)
+			n.manager.SetSupply(quota.Supply{
+				Suppliers: suppliers, Supplies: slices.Contains(suppliers, n.id), DirectHolders: len(suppliers), Homes: suppliers,
+			})
+		}
 		if c.homes {
 			homes := append(slices.Clone(peers), n.id)
 			n.manager.SetSupply(quota.Supply{Supplies: true, DirectHolders: len(homes), Homes: homes})
@@ -132,6 +140,17 @@
 	}
 }
 
+// firstRunning returns the first running nodes, up to the count.
+func (c *cluster) firstRunning(count int) []ident.Incarnation {
+	var first []ident.Incarnation
+	for _, n := range c.nodes {
+		if n.state == running && len(first) < count {
+			first = append(first, n.id)
+		}
+	}
+	return first
+}
+
 // supply makes the first running node the supplier of all others.
 func (c *cluster) supply(n *node) quota.Supply {
 	for _, other := range c.nodes {
--- a/fleet/process/quota/property_test.go
+++ b/fleet/process/quota/property_test.go
@@ -24,6 +24,7 @@
 	},
 	"spread":   quota.DemandSpread{Horizon: 10 * time.Second, Share: 0.5, Holders: 1, Refill: 0.75},
 	"homes":    quota.DemandSpread{Horizon: 8 * time.Second, Share: 0.2, Holders: 1, Refill: 0.75},
+	"drawers":  quota.DemandSpread{Horizon: 9 * time.Second, Share: 0.8, Holders: 1, Refill: 0.75},
 	"supplied": quota.DemandSpread{Horizon: 8 * time.Second, Share: 1, Holders: 1, Refill: 0.75},
 	"split":    quota.EvenSplit{Holders: 4},
 }
