--- a/fleet/process/quota/grant.go
+++ b/fleet/process/quota/grant.go
@@ -33,6 +33,9 @@
 // now, if they are more.
 func (m *Manager[S]) Refresh(request account.GrantRequest, now time.Time) account.GrantRequest {
 	allocation := m.Allocation(request.Budget)
+	if allocation.Closing || allocation.RecordClosed {
+		return request
+	}
 	allocation.coverReserves()
 	amount := max(m.grantAmount(allocation, now)+allocation.pendingReserves(), request.Target-request.KnownGranted)
 	return m.grantRequest(allocation, amount)
--- a/router/process/node/quota.go
+++ b/router/process/node/quota.go
@@ -245,11 +245,13 @@
 		return
 	}
 	now := s.Clock.Now()
-	if s.isLargeFleet() && now.Before(page.nextAt) {
-		return
-	}
-	for index, request := range update.Grants {
-		update.Grants[index] = s.Quota.Refresh(request, now)
+	if s.isLargeFleet() {
+		if now.Before(page.nextAt) {
+			return
+		}
+		for index, request := range update.Grants {
+			update.Grants[index] = s.Quota.Refresh(request, now)
+		}
 	}
 	page.inFlight = true
 	page.pending = PageUpdate{CachedObject: update.CachedObject}
