hosting, proof: Move the stand-ins of the hosting platform into platform/

Cause: the process tests of untrusted callers had the platform's names of headers and objects in the proof module; only platform/ speaks to the users' platform. Crowd, bounds and checks are as before.

--- a/proof/untrusted_hosting_test.go
+++ b/proof/untrusted_hosting_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 
+	"jacinthpaddle.example/platform/process/hosting"
 	"jacinthpaddle.example/proof/process/harness"
 )
 
@@ -50,10 +51,10 @@
 	t.Helper()
 	call := harness.Call{
 		Method: http.MethodPost,
-		Path:   "/services/balance/" + name,
+		Path:   hosting.Path + "balance/" + name,
 		Body:   name,
-		Header: http.Header{"Attempt-Id": {name}, "Token-Usage": {"1,1"}},
-		Host:   "hall",
+		Header: hosting.RequestHeader(name),
+		Host:   hosting.Host,
 	}
 	harness.Await(t, "the request "+name+" to be served", func() bool {
 		return client.Send(t.Context(), h.Router.CallerAddress(), call).Status == http.StatusOK
