node: Register the metrics of the components in one place

Cause: the constructor had grown by one block of the same shape for each metric of the merged parts. Change: Node.observe registers them.

--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -15,6 +15,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -169,29 +170,27 @@
 	node.setUpIntake()
 	node.setUpControl()
 	node.setUpRequests()
-	if err := metrics.ObservePeers(node.peerBytes); err != nil {
+	if err := node.observe(); err != nil {
 		return nil, err
 	}
-	if err := metrics.ObserveEvacuations(node.evacuatedZones); err != nil {
-		return nil, err
-	}
-	if err := metrics.ObserveColdEndpoints(node.coldEndpoints); err != nil {
-		return nil, err
-	}
-	if err := metrics.ObserveSlowEndpoints(node.slowEndpoints); err != nil {
-		return nil, err
-	}
-	if err := metrics.ObserveCreditRefusals(node.state.Refusals.Totals); err != nil {
-		return nil, err
-	}
-	if deps.LinesDropped != nil {
-		if err := metrics.ObserveLog(deps.LinesDropped); err != nil {
-			return nil, err
-		}
-	}
 	return node, node.listen()
 }
 
+// observe adds the metrics that are read from the components at each scrape.
+func (n *Node) observe() error {
+	err := cmp.Or(
+		n.metrics.ObservePeers(n.peerBytes),
+		n.metrics.ObserveEvacuations(n.evacuatedZones),
+		n.metrics.ObserveColdEndpoints(n.coldEndpoints),
+		n.metrics.ObserveSlowEndpoints(n.slowEndpoints),
+		n.metrics.ObserveCreditRefusals(n.state.Refusals.Totals),
+	)
+	if err != nil || n.LinesDropped == nil {
+		return err
+	}
+	return n.metrics.ObserveLog(n.LinesDropped)
+}
+
 // setUpControl creates the control thread and the hub, which refer to each other. The
 // receiver and the I/O worker get the thread last; the hub receives no messages before
 // that, since its socket is opened later.
