--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -48,6 +48,8 @@
 	routers []*router
 	runners []*runner
 	host    string
+	// lost has the times at which all routers were started again after a loss.
+	lost []time.Time
 }
 
 // router is one process of the deploy file.
@@ -57,6 +59,7 @@
 	fields   map[string]string
 	process  *exec.Cmd
 	done     chan struct{}
+	proxy    *proxy
 }
 
 func (r *router) front() string { return r.IP + ":8227" }
@@ -115,6 +118,7 @@
 	ip := fmt.Sprintf("%s%d", s.prefix, 40+index)
 	zone := index % len(zones)
 	added := &router{Name: fmt.Sprintf("front-%s-%d", zones[zone], 1+index/len(zones)), IP: ip}
+	added.proxy = newProxy(fmt.Sprintf("%s%d:8223", s.prefix, 40+index), s.store.Address)
 	added.fields = map[string]string{
 		"node": added.Name, "ip": ip, "zone": zones[zone], "region": regions[zone],
 		"listen.front": ip + ":8227", "listen.ready": ip + ":8220", "listen.directory": ip + ":8224",
@@ -122,7 +126,7 @@
 		"limits.cpuShare": "0.4", "limits.cores": "1", "limits.memoryMb": "284", "limits.maxFds": "4100",
 		"bounds.contactMs": "3000", "bounds.drainMs": "2500", "bounds.configMs": "2500",
 		"bounds.retrySlack": "54", "bounds.retryWindowS": "10",
-		"provider.address": s.store.Address, "provider.writesPerS": "400",
+		"provider.address": added.proxy.Address, "provider.writesPerS": "400",
 	}
 	template, err := os.ReadFile("deploy/settings.ini")
 	must(err)
@@ -215,3 +219,28 @@
 	})
 	record.line("configuration %d is in the store", version)
 }
+
+// killAll kills all routers at one moment and starts them again.
+func (s *site) killAll() {
+	record.line("all processes of the system are killed at one moment")
+	for _, killed := range s.routers {
+		_ = killed.process.Process.Kill()
+	}
+	for _, killed := range s.routers {
+		<-killed.done
+		killed.start(s.folder)
+	}
+	s.lost = append(s.lost, time.Now())
+	s.waitReady()
+}
+
+// inTouch reports whether the machines were in touch at the time: not until contact after
+// their processes were started again.
+func (s *site) inTouch(at time.Time, contact time.Duration) bool {
+	for _, started := range s.lost {
+		if at.After(started.Add(-time.Second)) && at.Before(started.Add(contact)) {
+			return false
+		}
+	}
+	return true
+}
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -28,9 +29,13 @@
 	// Work answers a request that has a slot.
 	Work func(writer http.ResponseWriter, request *http.Request)
 
+	site     *site
+	zone     string
+	server   *http.Server
 	slots    chan struct{}
 	mu       sync.Mutex
 	waiting  int
+	born     int64
 	arrivals []*arrival
 }
 
@@ -39,17 +44,49 @@
 		ID: fmt.Sprintf("i-%04x", 0x7f00+len(s.runners)), Address: fmt.Sprintf("%s%d:8463", s.prefix, 100+len(s.runners)),
 		Service: service, Slots: slots, Work: work, slots: make(chan struct{}, slots),
 	}
+	added.site, added.zone = s, zone
 	s.runners = append(s.runners, added)
-	listener, err := net.Listen("tcp", added.Address)
-	must(err)
-	go func() { _ = http.Serve(listener, added) }()
+	added.listen()
 	s.store.put("servers", added.ID, added.entry(zone))
 	return added
 }
 
+// listen serves at the runner's address.
+func (r *runner) listen() {
+	var listener net.Listener
+	var err error
+	for range 100 {
+		if listener, err = net.Listen("tcp", r.Address); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	must(err)
+	r.server = &http.Server{Handler: r, ErrorLog: log.New(io.Discard, "", 0)}
+	server := r.server
+	go func() { _ = server.Serve(listener) }()
+}
+
+// crash resets all connections of the runner. After the time it starts again, as a new
+// incarnation under the id that it had.
+func (r *runner) crash(down time.Duration) {
+	server := r.server
+	go func() {
+		_ = server.Close()
+		time.Sleep(down)
+		r.mu.Lock()
+		r.waiting = 0
+		r.born++
+		r.mu.Unlock()
+		r.listen()
+		r.site.store.put("servers", r.ID, r.entry(r.zone))
+		record.line("runner %s is back", r.ID)
+	}()
+}
+
 func (r *runner) entry(zone string) map[string]any {
 	return map[string]any{"service": r.Service, "address": r.Address, "zone": zone, "version": "v1",
-		"slots": r.Slots, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1790000000000}
+		"slots": r.Slots, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1790000000000 + r.born}
 }
 
 // seen returns the arrivals so far.
