--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,11 @@
 #!/usr/bin/env bash
 # Plays case 7. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/platform ] && [ -x target/review-2/standins2 ] || exit 2
-exec target/review-2/standins2 rollback review/7
+if [ ! -x target/platform ] || [ ! -x target/review-2/standins2 ]; then
+	echo "run the build line of deploy/system.toml and review/build-2.sh first"
+	exit 2
+fi
+timeout -k 5 115 target/review-2/standins2 rollback review/7
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -31,15 +31,6 @@
 
 var record *recorder
 
-func must(err error) {
-	if err != nil {
-		panic(unable{err})
-	}
-}
-
-// unable means that the case could not run.
-type unable struct{ error }
-
 // site is a small deployment on loopback addresses of its own.
 type site struct {
 	prefix  string
@@ -48,8 +39,8 @@
 	routers []*router
 	runners []*runner
 	host    string
-	// lost has the times at which all routers were started again after a loss.
-	lost []time.Time
+	// mu is held while a process starts or all end.
+	mu sync.Mutex
 }
 
 // router is one process of the deploy file.
@@ -78,7 +69,8 @@
 		_ = probe.Close()
 		return &site{prefix: prefix, folder: folder, store: newStore(prefix + "7:8223"), host: "ficu95.example"}
 	}
-	panic(unable{fmt.Errorf("no free loopback address")})
+	abort(errors.New("no free loopback address"))
+	return nil
 }
 
 var placeholder = regexp.MustCompile(`\{\{([a-zA-Z0-9_.]+)\}\}`)
@@ -132,8 +124,10 @@
 	must(err)
 	added.settings = filepath.Join(s.folder, added.Name+".conf")
 	must(os.WriteFile(added.settings, []byte(render(string(template), added.fields)), 0o600))
-	s.routers = append(s.routers, added)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	added.start(s.folder)
+	s.routers = append(s.routers, added)
 	return added
 }
 
@@ -183,7 +177,7 @@
 				}
 			}
 			if time.Now().After(deadline) {
-				panic(unable{fmt.Errorf("router %s is not ready", started.Name)})
+				abort(fmt.Errorf("router %s is not ready", started.Name))
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -191,22 +185,17 @@
 	record.line("all routers are ready")
 }
 
-// stop ends all processes that the case started.
-func (s *site) stop() {
+// clean ends all processes that the case started, and removes their files.
+func (s *site) clean() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, started := range s.routers {
-		if started.process != nil && started.process.Process != nil {
-			_ = started.process.Process.Kill()
-		}
+		_ = started.process.Process.Kill()
 	}
 	for _, started := range s.routers {
 		<-started.done
 	}
-}
-
-// logs returns what a router has written so far.
-func (s *site) logs(r *router) string {
-	content, _ := os.ReadFile(filepath.Join(s.folder, r.Name+".log"))
-	return string(bytes.TrimSpace(content))
+	_ = os.RemoveAll(s.folder)
 }
 
 // route and service follow the configuration on PROTOCOL.md.
@@ -219,28 +208,3 @@
 	})
 	record.line("configuration %d is in the store", version)
 }
-
-// killAll kills all routers at one moment and starts them again.
-func (s *site) killAll() {
-	record.line("all processes of the system are killed at one moment")
-	for _, killed := range s.routers {
-		_ = killed.process.Process.Kill()
-	}
-	for _, killed := range s.routers {
-		<-killed.done
-		killed.start(s.folder)
-	}
-	s.lost = append(s.lost, time.Now())
-	s.waitReady()
-}
-
-// inTouch reports whether the machines were in touch at the time: not until contact after
-// their processes were started again.
-func (s *site) inTouch(at time.Time, contact time.Duration) bool {
-	for _, started := range s.lost {
-		if at.After(started.Add(-time.Second)) && at.Before(started.Add(contact)) {
-			return false
-		}
-	}
-	return true
-}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -10,19 +10,20 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
-// play plays a case, with or without its disruption, and returns how often the rule was
-// broken and what the rule allows.
+// play plays a case, with or without its disruption, and reports whether the rule was broken.
 type play func(s *site, trouble bool) (broken bool)
 
 var cases = map[string]play{}
 
 func main() { os.Exit(run()) }
 
-func run() (code int) {
+func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins2 CASE FOLDER")
 		return 2
@@ -35,29 +36,14 @@
 	defer file.Close()
 	record = &recorder{file: file, start: time.Now()}
 	folder, err := os.MkdirTemp("", "review")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 2
-	}
-	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(folder)
-	} else {
-		fmt.Fprintln(os.Stderr, folder)
-	}
-	var playing *site
-	defer func() {
-		if playing != nil {
-			playing.stop()
-		}
-		if failed := recover(); failed != nil {
-			record.line("the case could not run: %v", failed)
-			fmt.Fprintln(os.Stderr, failed)
-			code = 2
-		}
-	}()
+	must(err)
+	playing = newSite(folder)
+	defer playing.clean()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { abort(fmt.Errorf("ended by a signal: %v", <-signals)) }()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.line("case %s, disruption %t", os.Args[1], trouble)
-	playing = newSite(folder)
 	if cases[os.Args[1]](playing, trouble) {
 		record.line("the rule was broken")
 		return 1
@@ -65,3 +51,23 @@
 	record.line("the rule held")
 	return 0
 }
+
+// playing is the deployment of the case.
+var playing *site
+
+// must ends the case if it can't run.
+func must(err error) {
+	if err != nil {
+		abort(err)
+	}
+}
+
+// abort ends the case, which could not run, and all processes that it started.
+func abort(err error) {
+	record.line("the case could not run: %v", err)
+	fmt.Fprintln(os.Stderr, err)
+	if playing != nil {
+		playing.clean()
+	}
+	os.Exit(2)
+}
--- a/review/standins-2/rollback.go
+++ b/review/standins-2/rollback.go
@@ -72,7 +72,7 @@
 	if trouble {
 		record.line("%s reaches the store again after %.1f s", cutOff.Name, healed.Sub(cutAt).Seconds())
 		if healed.Sub(cutAt) > longest {
-			panic(unable{fmt.Errorf("the cut took %s", healed.Sub(cutAt))})
+			abort(fmt.Errorf("the cut took %s", healed.Sub(cutAt)))
 		}
 	}
 	from := healed.Add(contact)
@@ -87,7 +87,7 @@
 			wrong++
 		}
 		if got := ask(cutOff, "n2ctnfzs989anu6wsjnb"); got != http.StatusOK {
-			panic(unable{fmt.Errorf("the sound key gets %d", got)})
+			abort(fmt.Errorf("the sound key gets %d", got))
 		}
 		time.Sleep(500 * time.Millisecond)
 	}
