launch: Catch signals from the start of the process to its exit

Cause: the goroutine that waits for SIGHUP ended with the context of SIGTERM, and its deferred signal.Stop restored the default action, which ends the process. Before the handlers were set, while the settings are read and the sockets opened, the same action applied, and for SIGTERM and SIGINT while the last log lines are written.

Change: catchSignals runs first and no default action is ever restored. Reloads and dumps are served until the exit; a reload changes the log level only.

Ruled out: the reload itself, which touches neither listeners nor limits.

--- a/proof/process/harness/fleet.go
+++ b/proof/process/harness/fleet.go
@@ -157,10 +157,23 @@
 // StartRouter starts a new process on the VM of a router and waits until it responds
 // on its operators' address. The process outlives a subtest that starts it.
 func (f *Fleet) StartRouter(t *testing.T, index int) {
+	t.Helper()
+	f.LaunchRouter(t, index, f.WriteSettings(t, index, ""))
+	f.AwaitStarted(t, index)
+}
+
+// LaunchRouter starts a new process on the VM of a router with the settings file and does
+// not wait for it.
+func (f *Fleet) LaunchRouter(t *testing.T, index int, settingsPath string) {
+	t.Helper()
+	router := f.Routers[index]
+	router.Process = startProcess(f.test, router.VM.Name, program("router"), "run", "--settings", settingsPath)
+}
+
+// AwaitStarted waits until the process of a router responds on its operators' address.
+func (f *Fleet) AwaitStarted(t *testing.T, index int) {
 	t.Helper()
 	router := f.Routers[index]
-	path := f.WriteSettings(t, index, "")
-	router.Process = startProcess(f.test, router.VM.Name, program("router"), "run", "--settings", path)
 	Await(t, router.VM.Name+" to respond", func() bool { return RespondsOK(router.operatorsURL("/status")) })
 }
 
--- a/proof/process/harness/process.go
+++ b/proof/process/harness/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -70,6 +71,12 @@
 	return p.log.String()
 }
 
+// AwaitLogged waits until the log of the process contains the text.
+func (p *process) AwaitLogged(t *testing.T, text string) {
+	t.Helper()
+	Await(t, p.name+" to log "+text, func() bool { return strings.Contains(p.Log(), text) })
+}
+
 // Signal sends the signal unless the process has exited.
 func (p *process) Signal(signal syscall.Signal) {
 	select {
@@ -97,3 +104,24 @@
 		p.Kill()
 	}
 }
+
+// SignalUntilExit sends the signals in turn until the process has exited. After the limit
+// it fails the test and kills the process.
+func (p *process) SignalUntilExit(t *testing.T, limit time.Duration, signals ...syscall.Signal) {
+	t.Helper()
+	ticker := time.NewTicker(PollInterval)
+	defer ticker.Stop()
+	timeout := time.After(limit)
+	for sent := 0; ; sent++ {
+		p.Signal(signals[sent%len(signals)])
+		select {
+		case <-p.exited:
+			return
+		case <-ticker.C:
+		case <-timeout:
+			t.Errorf("%s: still running after %v of signals", p.name, limit)
+			p.Kill()
+			return
+		}
+	}
+}
--- a/router/process/launch/launch.go
+++ b/router/process/launch/launch.go
@@ -7,13 +7,10 @@
 package launch
 
 import (
-	"context"
 	"fmt"
 	"io"
 	stdlog "log"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -123,6 +120,7 @@
 }
 
 func run(program Program, path string, out io.Writer) int {
+	caught := catchSignals()
 	settings, err := loadSettings(path)
 	if err != nil {
 		event.NewLog(out, logrus.InfoLevel).Emit(event.BadSettings, event.Cause(err))
@@ -146,11 +144,9 @@
 		log.Emit(event.ListenFailed, event.Cause(err))
 		return ExitFailed
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go dumpOnSignal(ctx, router)
-	go reloadOnSignal(ctx, router, func() (node.Settings, error) { return loadSettings(path) })
-	if err := router.Run(ctx); err != nil {
+	go dumpOnSignal(caught.dump, router)
+	go reloadOnSignal(caught.reload, router, func() (node.Settings, error) { return loadSettings(path) })
+	if err := router.Run(caught.terminated); err != nil {
 		return ExitFailed
 	}
 	return ExitOK
@@ -165,17 +161,3 @@
 		os.Exit(ExitPanicked)
 	}
 }
-
-func dumpOnSignal(ctx context.Context, router *node.Node) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-signals:
-			router.WriteDump()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
