node: Compare a reading of the generation with the one in force

Cause: the reader skipped a reading with the digest of its own reading before, although a peer had sent another generation meanwhile.

Change: the reader compares the number with that of the generation in force, which the control thread publishes. Event 2001 has the source of a generation, event 2004 an older one that was offered, and the metric generation the number in force.

Ruled out: a missed watch; the reader gets the pointer and drops it.

--- a/fleet/process/event/event.go
+++ b/fleet/process/event/event.go
@@ -40,6 +40,7 @@
 	GenerationActivated = Kind{2001, "generation taken", logrus.InfoLevel}
 	GenerationFailed    = Kind{2002, "generation not readable", logrus.WarnLevel}
 	HomesDisjoint       = Kind{2003, "route and team have no home region in common", logrus.WarnLevel}
+	GenerationSkipped   = Kind{2004, "older generation skipped", logrus.InfoLevel}
 	ZoneEvacuated       = Kind{2101, "zone evacuated", logrus.WarnLevel}
 	EvacuationWithdrawn = Kind{2102, "evacuation withdrawn", logrus.InfoLevel}
 	EvacuationInvalid   = Kind{2103, "evacuation of an unknown zone", logrus.WarnLevel}
@@ -81,7 +82,7 @@
 	return []Kind{
 		Started, Draining, Stopped, BadSettings, ListenFailed, ControlPanicked, DumpWritten, DrainIncomplete,
 		Reloaded, ReloadRefused, LibraryMessage, ConnectionRefused,
-		GenerationActivated, GenerationFailed, HomesDisjoint,
+		GenerationActivated, GenerationFailed, HomesDisjoint, GenerationSkipped,
 		ZoneEvacuated, EvacuationWithdrawn, EvacuationInvalid, EvacuationsFailed,
 		PlatformUnavailable, PlatformAvailable, PlatformSilent,
 		GrantFailed, QuotaReturned, QuotaReclaimed, AccountRecordClosed, QuotaWrittenOff, QuotaGranted, LayoutFailed, CreditsRefused,
--- a/fleet/process/meter/meter.go
+++ b/fleet/process/meter/meter.go
@@ -92,6 +92,12 @@
 	return errors.Annotate(err, "metrics")
 }
 
+// ObserveGeneration adds a gauge of the number of the active generation. The function read
+// is called at each scrape.
+func (m *Metrics) ObserveGeneration(read func() int64) error {
+	return m.observeGauge("generation", "number of the active generation", "{generation}", read)
+}
+
 // ObserveEvacuations adds a gauge of the evacuated availability zones. The function zones
 // returns their number. It is called at each scrape.
 func (m *Metrics) ObserveEvacuations(zones func() int64) error {
--- a/router/process/node/generation.go
+++ b/router/process/node/generation.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,20 +15,37 @@
 // GenerationReceived has a generation that was read from the store or sent by a peer.
 type GenerationReceived struct {
 	Generation generation.Generation
+	// Peer is the sender, or empty if this process read the store.
+	Peer ident.Incarnation
 }
 
 // Apply implements control.Message. A generation that is not newer than the active one
 // is ignored.
 func (m GenerationReceived) Apply(state *State) {
 	if !generation.Newer(state.Generation, m.Generation) {
+		logSkippedGeneration(state.Log, m.Generation.Number, state.Generation.Number, m.Peer)
 		return
 	}
 	state.Generation = m.Generation
+	state.ActiveNumber.Store(m.Generation.Number)
 	state.activateGeneration()
 	state.updateEndpoints()
 	state.announceGenerationToAll()
 	state.Log.Emit(event.GenerationActivated, event.Int("generation", m.Generation.Number),
-		event.String("digest", m.Generation.Digest))
+		event.String("digest", m.Generation.Digest), generationSource(m.Peer))
+}
+
+// logSkippedGeneration logs that a generation was offered that is older than the active one.
+func logSkippedGeneration(log *event.Log, offered, active int64, peer ident.Incarnation) {
+	if offered < active {
+		log.Emit(event.GenerationSkipped, event.Int("generation", offered), event.Int("active", active), generationSource(peer))
+	}
+}
+
+// generationSource returns the field with the peer that sent a generation, or "store" if
+// this process read it itself.
+func generationSource(peer ident.Incarnation) event.Field {
+	return event.String("source", cmp.Or(string(peer), "store"))
 }
 
 // maxConflictLines bounds the log lines about conflicts of homes in one generation.
@@ -81,7 +99,7 @@
 			s.Log.Emit(event.GenerationFailed, event.String("peer", from), event.Cause(err))
 			return
 		}
-		GenerationReceived{Generation: decoded}.Apply(s)
+		GenerationReceived{Generation: decoded, Peer: from}.Apply(s)
 	case message.Wanted && s.Generation.Number >= message.Number:
 		s.sendGeneration(from)
 	case message.Number > s.Generation.Number:
--- a/router/process/node/node.go
+++ b/router/process/node/node.go
@@ -180,6 +180,7 @@
 func (n *Node) observe() error {
 	err := cmp.Or(
 		n.metrics.ObservePeers(n.peerBytes),
+		n.metrics.ObserveGeneration(n.state.ActiveNumber.Load),
 		n.metrics.ObserveEvacuations(n.evacuatedZones),
 		n.metrics.ObserveColdEndpoints(n.coldEndpoints),
 		n.metrics.ObserveSlowEndpoints(n.slowEndpoints),
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -124,8 +124,13 @@
 	// goroutines, and empty until there is a reading.
 	Evacuations *current.Value[evacuation.Reading]
 
-	Settings   Settings
+	// Generation is the newest generation that this process has.
 	Generation generation.Generation
+	// ActiveNumber is the number of Generation. It is written by the control thread and read
+	// by other goroutines.
+	ActiveNumber *atomic.Int64
+
+	Settings   Settings
 	Started    time.Time
 	Membership *membership.Manager
 	// Linked contains the peers with an open link.
@@ -257,6 +262,7 @@
 		WatchesStore:   &atomic.Bool{},
 		ListReceivedAt: &atomic.Pointer[time.Time]{},
 		Members:        &atomic.Pointer[[]member.Member]{},
+		ActiveNumber:   &atomic.Int64{},
 		Retries:        retry.NewBudgets(retry.BudgetDefaults(), clk),
 		Prompts:        quarantine.New(quarantine.Defaults()),
 		PromptView:     &atomic.Pointer[quarantine.View]{},
--- a/router/process/node/watcher.go
+++ b/router/process/node/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"jacinthpaddle.example/fleet/process/clock"
@@ -76,7 +77,7 @@
 // newGenerationWatcher returns the watcher of the generation pointer, the object that names
 // the active generation.
 func (n *Node) newGenerationWatcher(policy ReadPolicy) *objectWatcher {
-	reader := &generationReader{objects: n.platform, thread: n.thread}
+	reader := &GenerationReader{Objects: n.platform, Thread: n.thread, Log: n.Log, Active: n.state.ActiveNumber}
 	return &objectWatcher{
 		clock:   n.Clock,
 		objects: n.platform,
@@ -86,31 +87,35 @@
 		wait:    n.Settings.Platform.GenerationWait(),
 		retry:   n.Settings.Platform.WatchRetry,
 		policy:  policy,
-		read:    reader.read,
+		read:    reader.Read,
 	}
 }
 
-// generationReader reads the active generation.
-type generationReader struct {
-	objects store.Store
-	thread  *Thread
-	// digest is the digest of the last generation that was read.
-	digest string
+// GenerationReader reads the active generation from the store.
+type GenerationReader struct {
+	Objects store.Store
+	Thread  *Thread
+	Log     *event.Log
+	// Active is the number of the generation that is active in this process. A reading is
+	// compared with it, since peers send generations as well.
+	Active *atomic.Int64
 }
 
-func (r *generationReader) read(ctx context.Context) (store.Version, error) {
-	pointer, err := generation.FetchPointer(ctx, r.objects)
+// Read reads the pointer and, if it names a generation after the active one, sends that to
+// the control thread. It returns the version of the pointer.
+func (r *GenerationReader) Read(ctx context.Context) (store.Version, error) {
+	pointer, err := generation.FetchPointer(ctx, r.Objects)
 	if err != nil {
 		return 0, err
 	}
-	if pointer.Number == 0 || pointer.Digest == r.digest {
+	if active := r.Active.Load(); pointer.Number <= active {
+		logSkippedGeneration(r.Log, pointer.Number, active, "")
 		return pointer.Version, nil
 	}
-	fetched, err := generation.FetchAt(ctx, r.objects, pointer)
+	fetched, err := generation.FetchAt(ctx, r.Objects, pointer)
 	if err != nil {
 		return 0, err
 	}
-	r.digest = pointer.Digest
-	r.thread.Send(GenerationReceived{Generation: fetched})
+	r.Thread.Send(GenerationReceived{Generation: fetched})
 	return pointer.Version, nil
 }
