node: Keep the announcement of each peer

Callers would see: a router that cannot reach the store stays on an old generation while its peers have a newer one, if a failed peer had announced one that is newer still.

Cause: only the highest announced number was kept, and it was requested again and again from the peer that had announced it; announcements of lower numbers were dropped.

Change: announcements are kept by linked peer, and a request that is not answered in time is followed by one to the peer that was asked the longest ago.

TestAnnouncementOfAPeerThatIsGone failed before: 0 requests to the peer that is alive, want 1.

--- a/router/process/node/generation.go
+++ b/router/process/node/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 	}
 	state.Generation = m.Generation
 	state.ActiveNumber.Store(m.Generation.Number)
+	state.dropAnnouncements()
 	state.activateGeneration()
 	state.updateEndpoints()
 	state.announceGenerationToAll()
@@ -109,38 +111,78 @@
 	}
 }
 
-// announcedGeneration is the newest generation that peers have announced.
-type announcedGeneration struct {
-	number int64
-	// peers have the generation. The one that it was last requested from is last.
-	peers       []ident.Incarnation
+// announcements has the generations that linked peers have announced and that are newer
+// than the active one.
+type announcements struct {
+	byPeer map[ident.Incarnation]announcement
+	// requested is the highest number that was requested, and requestedAt the time of the
+	// last request.
+	requested   int64
 	requestedAt time.Time
 }
 
+// announcement is the newest generation that one peer has announced.
+type announcement struct {
+	number      int64
+	announcedAt time.Time
+	// requestedAt is the time of the last request to the peer, or zero.
+	requestedAt time.Time
+}
+
+// next returns the peer to request a generation from: the one whose last request is the
+// longest ago, since a peer may have failed after its announcement, then the one with the
+// highest number.
+func (a *announcements) next() (ident.Incarnation, bool) {
+	peers := slices.Sorted(maps.Keys(a.byPeer))
+	if len(peers) == 0 {
+		return "", false
+	}
+	return slices.MinFunc(peers, func(x, y ident.Incarnation) int {
+		first, second := a.byPeer[x], a.byPeer[y]
+		return cmp.Or(first.requestedAt.Compare(second.requestedAt), cmp.Compare(second.number, first.number),
+			second.announcedAt.Compare(first.announcedAt))
+	}), true
+}
+
 // addAnnouncement records that a peer has a newer generation. It is requested from one
-// peer at a time, since a generation can be large.
+// peer at a time, since a generation can be large, and at once if none as new was requested.
 func (s *State) addAnnouncement(from ident.Incarnation, number int64) {
-	if number > s.announced.number {
-		s.announced = announcedGeneration{number: number}
+	announced := s.announced.byPeer[from]
+	if number > announced.number {
+		announced = announcement{number: number, announcedAt: s.Clock.Now(), requestedAt: announced.requestedAt}
+		s.announced.byPeer[from] = announced
 	}
-	if number == s.announced.number && !slices.Contains(s.announced.peers, from) {
-		s.announced.peers = append([]ident.Incarnation{from}, s.announced.peers...)
+	if number > s.announced.requested {
+		s.requestGenerationFrom(from)
 	}
-	s.requestGeneration()
 }
 
-// requestGeneration requests the newest announced generation from the next peer, unless
+// requestGeneration requests a newer generation from the next peer that announced one, unless
 // the GenerationRequestTimeout of the previous request has not passed.
 func (s *State) requestGeneration() {
-	now := s.Clock.Now()
-	outdated := s.announced.number > s.Generation.Number && len(s.announced.peers) > 0
-	if !outdated || now.Sub(s.announced.requestedAt) < GenerationRequestTimeout {
+	if s.Clock.Now().Sub(s.announced.requestedAt) < GenerationRequestTimeout {
 		return
 	}
-	next := s.announced.peers[0]
-	s.announced.peers = append(s.announced.peers[1:], next)
+	if next, ok := s.announced.next(); ok {
+		s.requestGenerationFrom(next)
+	}
+}
+
+func (s *State) requestGenerationFrom(peerID ident.Incarnation) {
+	now := s.Clock.Now()
+	announced := s.announced.byPeer[peerID]
+	announced.requestedAt = now
+	s.announced.byPeer[peerID] = announced
+	s.announced.requested = max(s.announced.requested, announced.number)
 	s.announced.requestedAt = now
-	s.send(next, peer.Message{Generation: &peer.Generation{Number: s.announced.number, Wanted: true}})
+	s.send(peerID, peer.Message{Generation: &peer.Generation{Number: announced.number, Wanted: true}})
+}
+
+// dropAnnouncements drops the announcements that are not newer than the active generation.
+func (s *State) dropAnnouncements() {
+	maps.DeleteFunc(s.announced.byPeer, func(_ ident.Incarnation, known announcement) bool {
+		return known.number <= s.Generation.Number
+	})
 }
 
 func (s *State) sendGeneration(to ident.Incarnation) {
--- a/router/process/node/generation_test.go
+++ b/router/process/node/generation_test.go
@@ -11,6 +11,7 @@
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/control"
 	"jacinthpaddle.example/fleet/process/event"
+	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/fleet/process/store"
 	"jacinthpaddle.example/fleet/process/store/memory"
 	"jacinthpaddle.example/fleet/version/declaration"
@@ -120,3 +121,39 @@
 		t.Fatal(err)
 	}
 }
+
+// TestAnnouncementOfAPeerThatIsGone guards against a newest generation that its peer never
+// sends: generations of other peers, older than that one, were not requested meanwhile.
+func TestAnnouncementOfAPeerThatIsGone(t *testing.T) {
+	router := newTestRouter(t, 10)
+	router.deliver("failed", peer.Message{Generation: &peer.Generation{Number: 11}})
+	router.deliver("alive", peer.Message{Generation: &peer.Generation{Number: 9}})
+	router.waitForMessages()
+	requestedFrom := func(peer ident.Incarnation) int {
+		return control.Query(router.thread, func(*node.State) int {
+			count := 0
+			for _, sent := range router.io.sent {
+				if sent.To == peer && sent.Generation != nil && sent.Generation.Wanted {
+					count++
+				}
+			}
+			return count
+		})
+	}
+	router.clock.Advance(node.GenerationRequestTimeout)
+	router.thread.Send(node.Tick{})
+	if got := requestedFrom("alive"); got != 1 {
+		t.Errorf("requests to the peer that is alive: got %d, want 1", got)
+	}
+	router.deliver("alive", peer.Message{Generation: contentOf(t, 9, 20)})
+	if got := router.generationNumber(); got != 9 {
+		t.Errorf("generation: got %d, want 9", got)
+	}
+	before := requestedFrom("failed")
+	router.thread.Send(node.LinkDown{Remote: "failed", Reason: peer.Silent})
+	router.clock.Advance(node.GenerationRequestTimeout)
+	router.thread.Send(node.Tick{})
+	if got := requestedFrom("failed"); got != before {
+		t.Errorf("requests to the failed peer after its link closed: got %d, want %d", got, before)
+	}
+}
--- a/router/process/node/peers.go
+++ b/router/process/node/peers.go
@@ -69,6 +69,7 @@
 func (m LinkDown) Apply(state *State) {
 	state.Membership.LinkDown(m.Remote, m.Reason, state.Clock.Now())
 	delete(state.Linked, m.Remote)
+	delete(state.announced.byPeer, m.Remote)
 	if m.Reason.CausesSuspicion() {
 		state.Log.Emit(event.PeerDown, event.String("peer", m.Remote), event.String("reason", m.Reason))
 	}
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -190,7 +190,7 @@
 	loggedEndpoints map[string]endpointFlags
 	// evacuated has the zones whose endpoints get no new requests.
 	evacuated []string
-	announced announcedGeneration
+	announced announcements
 	// membersOutdated is set by gossip until membersChanged runs. A process that starts
 	// receives many messages, and deriving all that depends on the members costs about a
 	// millisecond in a large fleet.
@@ -268,6 +268,7 @@
 		PromptView:     &atomic.Pointer[quarantine.View]{},
 		Endpoints:      endpoint.NewTable(endpointConfig, clk),
 		EndpointConfig: endpointConfig,
+		announced:      announcements{byPeer: make(map[ident.Incarnation]announcement)},
 		readings:       make(map[ident.Incarnation]int64),
 		pages:          make(map[string]*pageState),
 		layout:         account.Layout{Pages: settings.Quota.Pages},
