serve: Avoid endpoints that failed with a suspect part of the prompt

Each crash cut the sound streams of that runner.

Cause: a part is quarantined after crashes at two endpoints, and affinity sends requests with the same first part to the same endpoint while it is up. The second endpoint never came.

Change: requests with a suspect part avoid the endpoints that failed with it, so that the next response shows whether the part or the endpoint is at fault. At a single endpoint five crashes suffice.

Ruled out: failures that are not reported, or cleared by sound requests.

--- a/fleet/process/quarantine/quarantine.go
+++ b/fleet/process/quarantine/quarantine.go
@@ -6,6 +6,10 @@
 // a response, so that only a whole response shows that its parts are sound. A part that is
 // a suspect of enough requests and crashes since then is quarantined.
 //
+// A part that is common to requests at one endpoint is told from a faulty endpoint by
+// sending the next request with it to another one (View.FailedAt): it crashes that one too,
+// or its response ends whole.
+//
 // A crash cuts off sound requests as well. Their parts are suspects too, until another
 // response with them ends, but the crashes are explained by the part that failed in all of
 // them and in more.
@@ -70,6 +74,9 @@
 	// MinEndpoints is the number of endpoints that must have crashed. One faulty endpoint
 	// alone does not make a part a cause.
 	MinEndpoints int
+	// MinCrashesAlone is the number of crashes that suffice at fewer endpoints. Requests with
+	// a suspect part avoid the endpoints that failed with it, so that there was no other.
+	MinCrashesAlone int
 	// CrashInterval separates two crashes of an endpoint that starts again under its
 	// name.
 	CrashInterval time.Duration
@@ -96,16 +103,17 @@
 // crash.
 func Defaults() Config {
 	return Config{
-		MinRequests:   3,
-		MinCrashes:    3,
-		MinEndpoints:  2,
-		CrashInterval: time.Second,
-		SoundFor:      5 * time.Second,
-		Memory:        DefaultMemory,
-		MaxParts:      1024,
-		MaxFailures:   16,
-		MaxKnown:      16_384,
-		MaxSound:      4096,
+		MinRequests:     3,
+		MinCrashes:      3,
+		MinEndpoints:    2,
+		MinCrashesAlone: 5,
+		CrashInterval:   time.Second,
+		SoundFor:        5 * time.Second,
+		Memory:          DefaultMemory,
+		MaxParts:        1024,
+		MaxFailures:     16,
+		MaxKnown:        16_384,
+		MaxSound:        4096,
 	}
 }
 
@@ -299,5 +307,9 @@
 		endpoints[suspicion.Endpoint] = true
 		crashes[suspicion.Crash] = true
 	}
-	return len(requests) >= t.Config.MinRequests && len(crashes) >= t.Config.MinCrashes && len(endpoints) >= t.Config.MinEndpoints
+	minCrashes := t.Config.MinCrashes
+	if len(endpoints) < t.Config.MinEndpoints {
+		minCrashes = t.Config.MinCrashesAlone
+	}
+	return len(requests) >= t.Config.MinRequests && len(crashes) >= minCrashes
 }
--- a/fleet/process/quarantine/view.go
+++ b/fleet/process/quarantine/view.go
@@ -70,6 +70,21 @@
 	return "", false
 }
 
+// FailedAt returns the endpoints that failed with a suspect part of a prompt, or nil if
+// there are none.
+func (v *View) FailedAt(parts []Part) map[string]bool {
+	var failed map[string]bool
+	for _, part := range parts {
+		for _, endpoint := range v.Endpoints[part] {
+			if failed == nil {
+				failed = make(map[string]bool)
+			}
+			failed[endpoint] = true
+		}
+	}
+	return failed
+}
+
 // FailedElsewhere returns the largest number of other endpoints that failed with one part
 // of a prompt.
 func (v *View) FailedElsewhere(parts []Part, endpoint string) int {
--- a/fleet/request/serve/pick.go
+++ b/fleet/request/serve/pick.go
@@ -1,6 +1,8 @@
 package serve
 
 import (
+	"slices"
+
 	"github.com/juju/errors"
 
 	"jacinthpaddle.example/fleet/connection/endpoint"
@@ -11,8 +13,9 @@
 	"jacinthpaddle.example/fleet/version/homes"
 )
 
-// pick chooses an endpoint in the home regions that was not attempted yet and counts the
-// request as in flight at it. Its error is an *outcome.Error. Each success must be followed
+// pick chooses an endpoint in the home regions and counts the request as in flight at it.
+// Endpoints that were attempted, or that failed with a suspect part of the prompt, are a last
+// resort. Its error is an *outcome.Error. Each success must be followed
 // by one call of release.
 func (r *Runner) pick(job Job, attempted []*endpoint.State) (*endpoint.State, error) {
 	endpoints := r.Endpoints.View().InPool(job.Plan.Pool.Name)
@@ -25,7 +28,7 @@
 		PromptTokens: job.PromptTokens,
 		PrefixTokens: job.PrefixTokens,
 		MaxInFlight:  job.Plan.Pool.MaxInFlight,
-		Avoid:        attempted,
+		Avoid:        slices.Concat(attempted, r.suspectEndpoints(job, endpoints)),
 	})
 	if ok {
 		return state, nil
--- a/fleet/request/serve/prompt.go
+++ b/fleet/request/serve/prompt.go
@@ -30,6 +30,26 @@
 	}
 }
 
+// suspectEndpoints returns the endpoints that failed with a suspect part of the prompt. The
+// response of another endpoint shows whether the part or the endpoint is at fault, and a
+// crashed endpoint has lost its prefix cache.
+func (r *Runner) suspectEndpoints(job Job, endpoints []*endpoint.State) []*endpoint.State {
+	if r.Prompts == nil {
+		return nil
+	}
+	failed := r.Prompts.View().FailedAt(job.Parts)
+	if len(failed) == 0 {
+		return nil
+	}
+	var suspect []*endpoint.State
+	for _, state := range endpoints {
+		if failed[state.VM.Name] {
+			suspect = append(suspect, state)
+		}
+	}
+	return suspect
+}
+
 // maxSuspectEndpoints is the number of endpoints at which a part may have crashed before a
 // stream with it is no longer resumed at another one. Most streams that a crash cuts off
 // are sound.
