quarantine: Remember released parts

Callers would see: a part that crashes endpoints is quarantined anew every two minutes, each time by three more crashes, while rare requests with it keep coming.

Cause: a quarantine lasts as long as its failures count, and refused requests give no new ones.

Change: a part that was released is quarantined again by one more failure, for four times as long with each of the first three releases. A whole response ends that. Parts that were refused only together still are, and parts whose failures another part explains are not remembered.

TestRelapse holds the conditions.

--- a/fleet/process/quarantine/quarantine.go
+++ b/fleet/process/quarantine/quarantine.go
@@ -85,6 +85,10 @@
 	SoundFor time.Duration
 	// Memory is how long a failure counts.
 	Memory time.Duration
+	// RelapseGrowth multiplies Memory with each of the first MaxReleases releases of a part,
+	// for the time in which it is quarantined after a relapse.
+	RelapseGrowth int
+	MaxReleases   int
 	// MaxParts bounds the number of suspects.
 	MaxParts int
 	// MaxFailures bounds the failures that are kept for one part.
@@ -110,6 +114,8 @@
 		CrashInterval:   time.Second,
 		SoundFor:        5 * time.Second,
 		Memory:          DefaultMemory,
+		RelapseGrowth:   4,
+		MaxReleases:     3,
 		MaxParts:        1024,
 		MaxFailures:     16,
 		MaxKnown:        16_384,
@@ -137,6 +143,19 @@
 	At     time.Time `json:"at"`
 }
 
+// Release is the end of a quarantine because its failures were too old to count. Endpoints
+// may crash under the part still, so that the next failure is a relapse, which quarantines it
+// at once and for longer.
+type Release struct {
+	// Count is the number of releases of the part so far, at most Config.MaxReleases.
+	Count int       `json:"count"`
+	At    time.Time `json:"at"`
+	// Group has the parts that were refused only together.
+	Group []Part `json:"group"`
+	// HeldUntil is the end of the quarantine after a relapse, or zero if there was none.
+	HeldUntil time.Time `json:"held_until"`
+}
+
 // Tracker holds the suspects. It is not safe for concurrent use.
 type Tracker struct {
 	Config Config
@@ -150,6 +169,8 @@
 	Sound map[Part]time.Time
 	// Crashes has the crashes of each endpoint.
 	Crashes map[string][]Crash
+	// Released has the last release of each part that may relapse.
+	Released map[Part]Release
 
 	// crashes is the number of crashes so far.
 	crashes int
@@ -163,6 +184,7 @@
 		Known:    make(map[Attempt]time.Time),
 		Sound:    make(map[Part]time.Time),
 		Crashes:  make(map[string][]Crash),
+		Released: make(map[Part]Release),
 	}
 }
 
@@ -184,6 +206,7 @@
 			continue
 		}
 		t.addSuspicion(part, suspicion)
+		t.addRelapse(part, at)
 	}
 	return true, sound
 }
@@ -236,7 +259,7 @@
 }
 
 // Clear records a whole response and drops the failures against its part that do not count
-// because of it. It reports whether there were any.
+// because of it, and the release of the part. It reports whether there were any.
 func (t *Tracker) Clear(whole Whole, now time.Time) bool {
 	at := now.Add(-whole.Age)
 	earlier, recorded := t.Sound[whole.Part]
@@ -253,7 +276,7 @@
 	} else {
 		t.Suspects[whole.Part] = kept
 	}
-	return len(kept) < len(failures)
+	return t.clearRelease(whole.Part, at) || len(kept) < len(failures)
 }
 
 // Expire drops what is older than Config.Memory and reports whether there were any
@@ -267,18 +290,22 @@
 	}
 	maps.DeleteFunc(t.Crashes, func(_ string, crashes []Crash) bool { return len(crashes) == 0 })
 	expired := false
+	var groups map[Part][]Part
 	for part, known := range t.Suspects {
 		switch first := slices.IndexFunc(known, func(s Suspicion) bool { return !isOld(s.At) }); first {
 		case 0:
 			continue
 		case -1:
+			groups = t.groupsBefore(groups)
 			delete(t.Suspects, part)
 		default:
+			groups = t.groupsBefore(groups)
 			t.Suspects[part] = known[first:]
 		}
 		expired = true
 	}
-	return expired
+	t.releaseExpired(groups, now)
+	return t.expireHolds(now) || expired
 }
 
 // Failures returns all failures that count, for a process that knows none of them.
--- a/fleet/process/quarantine/quarantine_test.go
+++ b/fleet/process/quarantine/quarantine_test.go
@@ -294,3 +294,72 @@
 		t.Error("after a response under the topic: got it quarantined or the cause released, want neither")
 	}
 }
+
+// releasedTracker returns a tracker that has just released the parts "topic" and "deadly",
+// which failed together three times, and "rare", which two of these crashes cut off.
+func releasedTracker(t *testing.T) (*quarantine.Tracker, time.Time) {
+	t.Helper()
+	tracker := quarantine.New(quarantine.Defaults())
+	for number := range 4 {
+		endpoint := fmt.Sprint("endpoint-", number)
+		tracker.Add(crash(fmt.Sprint("deadly-", number), endpoint, "topic", "deadly"), start)
+		if number < 3 {
+			tracker.Add(crash(fmt.Sprint("rare-", number), endpoint, "rare"), start)
+		}
+	}
+	now := start.Add(tracker.Config.Memory)
+	tracker.Expire(now)
+	if groups := tracker.View().Groups; len(groups) != 0 {
+		t.Fatalf("after the memory: got %v quarantined, want none", groups)
+	}
+	return tracker, now
+}
+
+// TestRelapse guards against a part that crashes endpoints each time that its quarantine ends,
+// and against sound parts that are quarantined with it.
+func TestRelapse(t *testing.T) {
+	fail := func(tracker *quarantine.Tracker, now time.Time, parts ...quarantine.Part) {
+		tracker.Add(crash("again", "endpoint-9", parts...), now)
+	}
+	tests := []struct {
+		name   string
+		happen func(tracker *quarantine.Tracker, now time.Time)
+		prompt []quarantine.Part
+		want   bool
+	}{
+		{"no failure", func(*quarantine.Tracker, time.Time) {}, []quarantine.Part{"topic", "deadly"}, false},
+		{"one failure", func(tracker *quarantine.Tracker, now time.Time) { fail(tracker, now, "topic", "deadly") }, []quarantine.Part{"topic", "deadly"}, true},
+		{"one part of the group alone", func(tracker *quarantine.Tracker, now time.Time) { fail(tracker, now, "topic", "deadly") }, []quarantine.Part{"topic"}, false},
+		{"one failure of a part that was cut off before", func(tracker *quarantine.Tracker, now time.Time) { fail(tracker, now, "rare") }, []quarantine.Part{"rare"}, false},
+		{"a whole response before the failure", func(tracker *quarantine.Tracker, now time.Time) {
+			clears(tracker, "topic", now.Add(time.Second))
+			clears(tracker, "deadly", now.Add(time.Second))
+			fail(tracker, now.Add(time.Minute), "topic", "deadly")
+		}, []quarantine.Part{"topic", "deadly"}, false},
+		{"a whole response of the other part after the failure", func(tracker *quarantine.Tracker, now time.Time) {
+			fail(tracker, now, "topic", "deadly")
+			clears(tracker, "topic", now.Add(time.Second))
+		}, []quarantine.Part{"deadly"}, true},
+		{"longer than the memory after the failure", func(tracker *quarantine.Tracker, now time.Time) {
+			fail(tracker, now, "topic", "deadly")
+			tracker.Expire(now.Add(2 * tracker.Config.Memory))
+		}, []quarantine.Part{"topic", "deadly"}, true},
+		{"in the end", func(tracker *quarantine.Tracker, now time.Time) {
+			fail(tracker, now, "topic", "deadly")
+			for range 1_000 {
+				now = now.Add(tracker.Config.Memory)
+				tracker.Expire(now)
+			}
+			fail(tracker, now, "topic", "deadly")
+		}, []quarantine.Part{"topic", "deadly"}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tracker, now := releasedTracker(t)
+			test.happen(tracker, now)
+			if _, got := tracker.View().Quarantined(test.prompt); got != test.want {
+				t.Errorf("quarantined: got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/fleet/process/quarantine/view.go
+++ b/fleet/process/quarantine/view.go
@@ -38,6 +38,11 @@
 			view.Groups[each.part] = group
 		}
 	}
+	for part, released := range t.Released {
+		if !released.HeldUntil.IsZero() && len(view.Groups[part]) == 0 {
+			view.Groups[part] = t.heldGroup(released)
+		}
+	}
 	return view
 }
 
--- a/fleet/request/serve/suspect_test.go
+++ b/fleet/request/serve/suspect_test.go
@@ -210,6 +210,30 @@
 	}
 }
 
+// TestLongSeriesOfPromptsThatCrashEndpoints guards against a quarantine that ends again and
+// again while requests with the part keep coming, and lets three of them crash endpoints each
+// time. Three are allowed after the fifth crash.
+func TestLongSeriesOfPromptsThatCrashEndpoints(t *testing.T) {
+	for _, endpoints := range []int{1, 2, 9} {
+		t.Run(fmt.Sprint(endpoints, " endpoints"), func(t *testing.T) {
+			f := newCrashFleet(t, 3, endpoints, 1)
+			const pause, length = 20 * time.Second, time.Hour
+			for sent := time.Duration(0); sent < length; sent += pause {
+				f.advance(pause)
+				if err := f.send(t, "shared", deadlyPart); err == nil {
+					t.Fatal("prompt with the part: got a whole response, want an error")
+				}
+				if err := f.send(t, "shared", "sound"); err != nil {
+					t.Errorf("sound prompt: got %v, want no error", err)
+				}
+			}
+			if got, want := f.total(), 5+3; got > want {
+				t.Errorf("crashes in %v: got %d, want at most %d", length, got, want)
+			}
+		})
+	}
+}
+
 // TestSoundPromptsAtAFaultyEndpoint guards against sound parts that are quarantined, or sent
 // to a faulty endpoint again and again, because of the crashes of that endpoint alone.
 func TestSoundPromptsAtAFaultyEndpoint(t *testing.T) {
