--- a/fleet/process/journal/buffer.go
+++ b/fleet/process/journal/buffer.go
@@ -43,6 +43,9 @@
 	// MaxSegmentRecords is the maximum number of records that one segment is made from.
 	// It can have fewer entries, since open entries with a final one are left out.
 	MaxSegmentRecords = 1500
+	// MaxSegmentBytes bounds the entries of one segment, and the records of one CopyRequest.
+	// The store and the frames of peers take 1 MB, with names and positions.
+	MaxSegmentBytes = 900 << 10
 )
 
 // Addressed is a message with its recipient.
@@ -198,7 +201,7 @@
 	b.failed = false
 	b.writing = nil
 	b.removeUpTo(b.writeEnd)
-	if len(b.pending) < MaxSegmentRecords {
+	if !b.hasFullSegment() {
 		b.flushAt = now.Add(b.config.FlushInterval)
 	}
 	b.flush(now)
@@ -259,13 +262,36 @@
 		return
 	}
 	b.lastSegment++
-	batch := b.unstored()
-	batch = batch[:min(len(batch), MaxSegmentRecords)]
+	batch := firstBatch(b.unstored(), MaxSegmentRecords)
 	b.writeEnd = batch[len(batch)-1].Position
 	b.writing = &Segment{Incarnation: b.self, Number: b.lastSegment, Entries: compact(batch)}
 	b.effects.Write = b.writing
 }
 
+// firstBatch returns the first records that fit into one message or segment, at least one.
+func firstBatch(records []Record, maxRecords int) []Record {
+	bytes := 0
+	for index, record := range records {
+		bytes += record.Entry.EncodedBytes()
+		if index > 0 && (index >= maxRecords || bytes > MaxSegmentBytes) {
+			return records[:index]
+		}
+	}
+	return records
+}
+
+// hasFullSegment reports whether the pending records fill a segment.
+func (b *Buffer) hasFullSegment() bool {
+	bytes := 0
+	for index, pending := range b.pending {
+		bytes += pending.record.Entry.EncodedBytes()
+		if index+1 >= MaxSegmentRecords || bytes > MaxSegmentBytes {
+			return true
+		}
+	}
+	return false
+}
+
 // urgent reports whether a record must be stored before the flush interval has passed. If
 // no copies are required, requests do not wait for their records to become durable, so
 // that none is urgent.
@@ -297,7 +323,9 @@
 }
 
 func (b *Buffer) copyTo(peer ident.Incarnation, records []Record) {
-	for part := range slices.Chunk(records, MaxCopyRecords) {
+	for len(records) > 0 {
+		part := firstBatch(records, MaxCopyRecords)
+		records = records[len(part):]
 		body := CopyRequest{Owner: b.self, Records: part}
 		b.effects.Copies = append(b.effects.Copies, Addressed[CopyRequest]{To: peer, Body: body})
 	}
--- a/fleet/process/journal/buffer_test.go
+++ b/fleet/process/journal/buffer_test.go
@@ -1,6 +1,8 @@
 package journal_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -114,6 +116,88 @@
 	}
 }
 
+// longTexts are texts that take much space in a segment.
+var longTexts = map[string]string{
+	"long":      strings.Repeat("i", 15<<10),
+	"escaped":   strings.Repeat("<", 15<<10),
+	"not UTF-8": strings.Repeat("\xff", 15<<10),
+}
+
+// TestLongRecordsAreStored guards against a segment that no store accepts because of its
+// bytes, which would keep all later records from being stored (review/8).
+func TestLongRecordsAreStored(t *testing.T) {
+	for name, text := range longTexts {
+		t.Run(name, func(t *testing.T) {
+			const requests = 300
+			buffer := journal.NewBuffer(journal.DefaultConfig(), "self")
+			buffer.SetPeers(start, []ident.Incarnation{"p1", "p2"})
+			replicas := journal.NewReplicas()
+			for index := range requests {
+				buffer.Append(start, entry(fmt.Sprint(text, index), journal.Final), true)
+			}
+			stored := 0
+			for buffer.Pending() > 0 {
+				buffer.Flush(start)
+				effects := buffer.TakeEffects()
+				for _, copied := range effects.Copies {
+					checkFits(t, "copy request", copied.Body)
+					replicas.Add(copied.Body)
+				}
+				stored += checkSegment(t, effects.Write)
+				buffer.CompleteWrite(start, true)
+			}
+			if stored != requests {
+				t.Errorf("stored: got %d, want %d", stored, requests)
+			}
+			copied := 0
+			for segment := replicas.NextSegment("self"); segment != nil; segment = replicas.NextSegment("self") {
+				copied += checkSegment(t, segment)
+				replicas.CompleteWrite("self", true)
+			}
+			if copied != requests {
+				t.Errorf("stored by a peer: got %d, want %d", copied, requests)
+			}
+		})
+	}
+}
+
+// TestNewPeerReceivesLongRecords guards against a message with the backlog that does not fit
+// into a frame.
+func TestNewPeerReceivesLongRecords(t *testing.T) {
+	buffer := journal.NewBuffer(journal.DefaultConfig(), "self")
+	for index := range 300 {
+		buffer.Append(start, entry(fmt.Sprint(longTexts["long"], index), journal.Final), true)
+	}
+	buffer.TakeEffects()
+	buffer.SetPeers(start, []ident.Incarnation{"p1", "p2"})
+	copies := buffer.TakeEffects().Copies
+	if len(copies) < 2 {
+		t.Errorf("messages: got %d, want several", len(copies))
+	}
+	for _, copied := range copies {
+		checkFits(t, "copy request", copied.Body)
+	}
+}
+
+// checkSegment asserts that the store accepts the segment and returns its number of entries.
+func checkSegment(t *testing.T, segment *journal.Segment) int {
+	t.Helper()
+	if segment == nil {
+		t.Fatal("segment: got none, want one")
+	}
+	checkFits(t, "segment", segment)
+	return len(segment.Entries)
+}
+
+// checkFits asserts that the JSON form of the value fits into an object or a frame.
+func checkFits(t *testing.T, what string, value any) {
+	t.Helper()
+	encoded, err := json.Marshal(value)
+	if err != nil || len(encoded) > store.MaxValueBytes {
+		t.Fatalf("%s: got %d bytes and %v, want at most %d", what, len(encoded), err, store.MaxValueBytes)
+	}
+}
+
 // TestBacklogIsStoredInSegmentsThatFit guards against segments that exceed the
 // maximum object size of the store: the records of a long outage, with names of the
 // maximum length, are stored in several segments.
--- a/fleet/process/journal/entry.go
+++ b/fleet/process/journal/entry.go
@@ -62,6 +62,28 @@
 	return e.Floor
 }
 
+// entryBytes bounds the length of the JSON form of an entry without its texts: its keys and
+// numbers of at most 20 digits.
+const entryBytes = 320
+
+// EncodedBytes returns an upper bound of the length of the JSON form of the entry.
+func (e Entry) EncodedBytes() int {
+	return entryBytes + quotedBytes(string(e.Request)) + quotedBytes(e.Team) + quotedBytes(e.Budget) + quotedBytes(e.Target)
+}
+
+// quotedBytes returns an upper bound of the length of the text in JSON. A byte that is
+// escaped takes at most six.
+func quotedBytes(text string) int {
+	length := len(text)
+	for index := range len(text) {
+		switch char := text[index]; {
+		case char < ' ', char > '~', char == '"', char == '\\', char == '<', char == '>', char == '&':
+			length += 5
+		}
+	}
+	return length
+}
+
 // Total is the sum of the bills of one budget. Charge is in credits.
 type Total struct {
 	Budget   string `json:"budget"`
--- a/fleet/process/journal/replicas.go
+++ b/fleet/process/journal/replicas.go
@@ -71,7 +71,7 @@
 		held.next = &Segment{
 			Incarnation: owner,
 			Number:      held.segments,
-			Entries:     compact(held.records[:min(len(held.records), MaxSegmentRecords)]),
+			Entries:     compact(firstBatch(held.records, MaxSegmentRecords)),
 		}
 	}
 	held.writing = true
