--- a/jacinth/request/trace/trace.go
+++ b/jacinth/request/trace/trace.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthpaddle.example/fleet/process/ident"
 )
 
 // maxLineBytes is the maximum length of a log line. Read returns an error for a longer one.
@@ -92,12 +94,13 @@
 }
 
 // Collect returns the trace of the requests whose id ends with the given one, which may not
-// be empty. The trace includes related lines from the duration before the first line of the
+// be empty. A caller's id that is too long for records is found by their form of it. The trace includes related lines from the duration before the first line of the
 // requests until their last line. Collect returns a *NotFoundError if no line has such an id.
 func Collect(lines []Line, id string, before time.Duration) (RequestTrace, error) {
 	var requestLines []Line
+	recorded := ident.BoundCallerID(id)
 	for _, line := range lines {
-		if id != "" && strings.HasSuffix(line.Request, id) {
+		if id != "" && (strings.HasSuffix(line.Request, id) || strings.HasSuffix(line.Request, recorded)) {
 			requestLines = append(requestLines, line)
 		}
 	}
--- a/jacinth/request/trace/trace_test.go
+++ b/jacinth/request/trace/trace_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"jacinthpaddle.example/fleet/process/ident"
 	"jacinthpaddle.example/jacinth/request/trace"
 )
 
@@ -46,6 +47,17 @@
 	}
 }
 
+// TestCollectByALongID guards against a caller's id that is in no log because records hold only
+// a digest of it.
+func TestCollectByALongID(t *testing.T) {
+	long := strings.Repeat("8e32", 100)
+	line := trace.Line{Event: 8005, Request: string(ident.CallerRequest("a", long))}
+	collected, err := trace.Collect([]trace.Line{line}, long, time.Second)
+	if err != nil || len(collected.Lines) != 1 {
+		t.Errorf("trace: got %d lines and %v, want 1", len(collected.Lines), err)
+	}
+}
+
 func TestCollectUnknownRequest(t *testing.T) {
 	lines, _, _ := trace.Read(strings.NewReader(logs))
 	for _, id := range []string{"ffff", ""} {
