--- a/fleet/process/journal/buffer.go
+++ b/fleet/process/journal/buffer.go
@@ -78,25 +78,28 @@
 	FlushInterval time.Duration
 	// RetryInterval is the time after which a failed write is repeated.
 	RetryInterval time.Duration
-	// MaxPending is the number of records that are not stored yet at which entries are
-	// refused, if Buffer.Append was called with refusable.
-	MaxPending int
+	// MaxPending is the number of records that are not stored yet, and MaxPendingBytes their
+	// size, at which entries are refused, if Buffer.Append was called with refusable.
+	MaxPending      int
+	MaxPendingBytes int
 }
 
 // DefaultConfig returns the configuration for a small fleet.
 func DefaultConfig() Config {
 	return Config{
-		RequiredCopies: 2,
-		CopyTimeout:    200 * time.Millisecond,
-		FlushInterval:  time.Second,
-		RetryInterval:  500 * time.Millisecond,
-		MaxPending:     200_000,
+		RequiredCopies:  2,
+		CopyTimeout:     200 * time.Millisecond,
+		FlushInterval:   time.Second,
+		RetryInterval:   500 * time.Millisecond,
+		MaxPending:      200_000,
+		MaxPendingBytes: 64 << 20,
 	}
 }
 
 // pendingRecord is a record that is not stored yet.
 type pendingRecord struct {
 	record  Record
+	bytes   int
 	addedAt time.Time
 	// confirmedBy are the peers that have confirmed their copy. No more are added once
 	// the record is durable.
@@ -114,7 +117,9 @@
 	// peers are the reachable peers in order of preference.
 	peers []ident.Incarnation
 	// pending are the records that are not stored yet, by position.
-	pending      []*pendingRecord
+	pending []*pendingRecord
+	// pendingBytes is the size of the pending records.
+	pendingBytes int
 	lastPosition int64
 	lastSegment  int64
 	// writing is the segment whose write has no successful result yet, and writeEnd
@@ -134,15 +139,16 @@
 	return &Buffer{config: config, self: self}
 }
 
-// Append adds an entry and returns its position. If refusable is set and MaxPending
-// records are not stored yet, it does not add the entry and returns false.
+// Append adds an entry and returns its position. If refusable is set and the buffer is full,
+// it does not add the entry and returns false.
 func (b *Buffer) Append(now time.Time, entry Entry, refusable bool) (int64, bool) {
-	if refusable && len(b.pending) >= b.config.MaxPending {
+	if refusable && b.Full() {
 		return 0, false
 	}
 	b.lastPosition++
-	added := &pendingRecord{record: Record{Position: b.lastPosition, Entry: entry}, addedAt: now}
+	added := &pendingRecord{record: Record{Position: b.lastPosition, Entry: entry}, bytes: entry.EncodedBytes(), addedAt: now}
 	b.pending = append(b.pending, added)
+	b.pendingBytes += added.bytes
 	for _, peer := range b.copyPeers() {
 		b.copyTo(peer, []Record{added.record})
 	}
@@ -230,6 +236,12 @@
 	return len(b.pending)
 }
 
+// Full reports whether the records that are not stored yet have reached MaxPending or
+// MaxPendingBytes.
+func (b *Buffer) Full() bool {
+	return len(b.pending) >= b.config.MaxPending || b.pendingBytes >= b.config.MaxPendingBytes
+}
+
 // CanMakeDurable reports whether a new record can be expected to become durable: enough
 // peers are reachable, or no failed write to the store waits for its repeat.
 func (b *Buffer) CanMakeDurable() bool {
@@ -284,7 +296,7 @@
 func (b *Buffer) hasFullSegment() bool {
 	bytes := 0
 	for index, pending := range b.pending {
-		bytes += pending.record.Entry.EncodedBytes()
+		bytes += pending.bytes
 		if index+1 >= MaxSegmentRecords || bytes > MaxSegmentBytes {
 			return true
 		}
@@ -359,6 +371,7 @@
 			kept = append(kept, record)
 			continue
 		}
+		b.pendingBytes -= record.bytes
 		b.markDurable(record)
 		for _, peer := range record.confirmedBy {
 			confirming[peer] = true
--- a/fleet/process/journal/buffer_test.go
+++ b/fleet/process/journal/buffer_test.go
@@ -233,3 +233,26 @@
 		t.Errorf("stored: got %d, want %d", stored, requests)
 	}
 }
+
+// TestCopiesOfPeersAreBoundedByBytes guards against copies of peers' records that fill the
+// memory of a router. A record that is not kept is not confirmed.
+func TestCopiesOfPeersAreBoundedByBytes(t *testing.T) {
+	replicas := journal.NewReplicas()
+	replicas.MaxBytes = 64 << 10
+	confirmed := 0
+	for position := int64(1); position <= 100; position++ {
+		record := journal.Record{Position: position, Entry: entry(fmt.Sprint(strings.Repeat("i", 1000), position), journal.Final)}
+		reply := replicas.Add(journal.CopyRequest{Owner: ident.Incarnation(fmt.Sprint("peer-", position%3)), Records: []journal.Record{record}})
+		confirmed += len(reply.Positions)
+	}
+	if got := replicas.Len(); got == 0 || got > 64 || got != confirmed {
+		t.Errorf("kept and confirmed: got %d and %d, want the same number, at most 64", got, confirmed)
+	}
+	for owner := range 3 {
+		replicas.Release(journal.ReleaseNotice{Owner: ident.Incarnation(fmt.Sprint("peer-", owner)), UpTo: 100})
+	}
+	record := journal.Record{Position: 101, Entry: entry("a", journal.Final)}
+	if reply := replicas.Add(journal.CopyRequest{Owner: "peer-0", Records: []journal.Record{record}}); len(reply.Positions) != 1 {
+		t.Errorf("after the release: got %v confirmed, want one", reply.Positions)
+	}
+}
--- a/fleet/process/journal/replicas.go
+++ b/fleet/process/journal/replicas.go
@@ -1,6 +1,8 @@
 package journal
 
 import (
+	"slices"
+
 	"jacinthpaddle.example/fleet/process/ident"
 )
 
@@ -9,8 +11,12 @@
 // a peer that is only slow does no harm, since copies of an entry result in one bill. It
 // is used by the control thread only.
 type Replicas struct {
+	// MaxBytes is the size of all records at which no further one is kept. Zero is no bound.
+	MaxBytes int
 	// owners maps the peers to their records.
 	owners map[ident.Incarnation]*peerRecords
+	// bytes is the size of all records.
+	bytes int
 }
 
 // peerRecords are the records of one peer.
@@ -32,30 +38,44 @@
 }
 
 // Add adds the records of the message and returns the reply to it. Records that are
-// already released are confirmed too, but not kept.
+// already released are confirmed too, but not kept. One for which there is no room is not
+// confirmed, so that its owner stores it.
 func (r *Replicas) Add(message CopyRequest) CopyReply {
 	held := r.recordsOf(message.Owner)
 	reply := CopyReply{Owner: message.Owner}
 	for _, record := range message.Records {
-		reply.Positions = append(reply.Positions, record.Position)
 		if record.Position > held.released && !held.has(record.Position) {
+			if r.full() {
+				continue
+			}
 			held.records = append(held.records, record)
+			r.bytes += record.Entry.EncodedBytes()
 		}
+		reply.Positions = append(reply.Positions, record.Position)
 	}
 	return reply
 }
 
+func (r *Replicas) full() bool {
+	return r.MaxBytes > 0 && r.bytes >= r.MaxBytes
+}
+
 // Release drops records that their owner has stored.
 func (r *Replicas) Release(message ReleaseNotice) {
 	held := r.recordsOf(message.Owner)
 	held.released = max(held.released, message.UpTo)
-	kept := held.records[:0]
-	for _, record := range held.records {
-		if record.Position > held.released {
-			kept = append(kept, record)
+	r.drop(held, func(record Record) bool { return record.Position <= held.released })
+}
+
+// drop drops the records of the peer for which the condition holds.
+func (r *Replicas) drop(held *peerRecords, condition func(Record) bool) {
+	held.records = slices.DeleteFunc(held.records, func(record Record) bool {
+		dropped := condition(record)
+		if dropped {
+			r.bytes -= record.Entry.EncodedBytes()
 		}
-	}
-	held.records = kept
+		return dropped
+	})
 }
 
 // NextSegment returns the segment to store under Segment.CopyName for a failed peer, or
@@ -95,15 +115,10 @@
 		stored[entry.Request] = entry.State
 	}
 	held.next = nil
-	kept := held.records[:0]
-	for _, record := range held.records {
+	r.drop(held, func(record Record) bool {
 		state, ok := stored[record.Entry.Request]
-		if ok && (state == Final || record.Entry.State == Open) {
-			continue
-		}
-		kept = append(kept, record)
-	}
-	held.records = kept
+		return ok && (state == Final || record.Entry.State == Open)
+	})
 }
 
 // Owners returns the peers whose records are held, in no order.
--- a/router/process/node/harness_test.go
+++ b/router/process/node/harness_test.go
@@ -105,7 +105,7 @@
 		io:       out,
 		clock:    fake,
 		credits:  node.NewCreditReserver(thread, state.Quota.Balances),
-		recorder: node.NewRecorder(thread, true),
+		recorder: node.NewRecorder(thread, true, state.JournalFull),
 	}
 }
 
--- a/router/process/node/journal.go
+++ b/router/process/node/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 
@@ -25,19 +26,24 @@
 type Recorder struct {
 	thread *Thread
 	wait   bool
+	// full reports whether the journal buffer is full.
+	full *atomic.Bool
 }
 
 // NewRecorder returns a recorder that appends entries to the journal on the control
-// thread. Without wait, Open and Close return before an entry is durable: the quota
-// of a process bounds the charges that are lost if it fails.
-func NewRecorder(thread *Thread, wait bool) *Recorder {
-	return &Recorder{thread: thread, wait: wait}
+// thread, which sets full. Without wait, Open and Close return before an entry is durable:
+// the quota of a process bounds the charges that are lost if it fails.
+func NewRecorder(thread *Thread, wait bool, full *atomic.Bool) *Recorder {
+	return &Recorder{thread: thread, wait: wait, full: full}
 }
 
 // Open records a request before it is dispatched. It returns nil once the entry is
 // durable, or at once if the recorder does not wait. Other errors than those of the
 // context are ErrUnreachable and ErrFull; the entry is then not in the journal.
 func (r *Recorder) Open(ctx context.Context, entry journal.Entry) error {
+	if r.full.Load() {
+		return ErrFull
+	}
 	return r.record(ctx, entry, true)
 }
 
@@ -48,11 +54,12 @@
 }
 
 func (r *Recorder) record(ctx context.Context, entry journal.Entry, refusable bool) error {
-	done := make(chan error, 1)
-	r.thread.Send(Record{Entry: entry, Refusable: refusable && r.wait, Done: done})
 	if !r.wait {
+		r.thread.Send(Record{Entry: entry})
 		return nil
 	}
+	done := make(chan error, 1)
+	r.thread.Send(Record{Entry: entry, Refusable: refusable, Done: done})
 	select {
 	case err := <-done:
 		return err
@@ -68,7 +75,7 @@
 	// if the journal buffer is full.
 	Refusable bool
 	// Done receives nil once the entry is durable, or the reason of a refusal. It must
-	// have a buffer of one.
+	// have a buffer of one, or be nil if nobody waits.
 	Done chan<- error
 }
 
@@ -80,11 +87,12 @@
 	}
 	position, ok := state.JournalBuffer.Append(state.Clock.Now(), m.Entry, m.Refusable)
 	if !ok {
-		state.Log.Emit(event.JournalFull, event.Int("entries", state.JournalBuffer.Pending()))
 		m.Done <- ErrFull
 		return
 	}
-	state.durableWaiters[position] = m.Done
+	if m.Done != nil {
+		state.durableWaiters[position] = m.Done
+	}
 	state.applyJournalEffects()
 }
 
@@ -101,6 +109,17 @@
 		}
 	}
 	s.sendJournalMessages(effects)
+	s.publishJournalFull()
+}
+
+// publishJournalFull publishes whether the journal buffer is full, and logs when it becomes
+// so.
+func (s *State) publishJournalFull() {
+	full := s.JournalBuffer.Full()
+	if full && !s.JournalFull.Swap(full) {
+		s.Log.Emit(event.JournalFull, event.Int("entries", s.JournalBuffer.Pending()))
+	}
+	s.JournalFull.Store(full)
 }
 
 // SegmentStored is the result of storing a journal segment, successful or not.
--- a/router/process/node/resources.go
+++ b/router/process/node/resources.go
@@ -6,6 +6,7 @@
 
 	"jacinthpaddle.example/fleet/process/buffer"
 	"jacinthpaddle.example/fleet/process/event"
+	"jacinthpaddle.example/fleet/process/journal"
 	"jacinthpaddle.example/fleet/process/meter"
 	"jacinthpaddle.example/fleet/request/intake"
 	"jacinthpaddle.example/router/connection/listener"
@@ -19,6 +20,9 @@
 	receivedFraction = 3
 	// connectionFraction is the fraction for connections.
 	connectionFraction = 4
+	// journalFraction is the fraction for journal records that are not stored yet, and again
+	// for copies of those of peers.
+	journalFraction = 8
 	// connectionBytes is what net/http occupies for a connection.
 	connectionBytes = 24 << 10
 	// runtimePercent is the percentage up to which the runtime collects garbage at its
@@ -54,6 +58,9 @@
 	// all callers' addresses, and at each internal one.
 	CallerConnections   int
 	InternalConnections int
+	// JournalBytes is the memory of journal records that are not stored yet, and of copies of
+	// those of peers each.
+	JournalBytes int
 	// RuntimeBytes is the soft limit of the Go runtime, or zero.
 	RuntimeBytes int64
 }
@@ -64,12 +71,14 @@
 	parts := Resources{
 		BufferedBytes:       s.Limits.MaxBufferedBytes,
 		ReceivedBytes:       s.Limits.MaxReceivedBytes,
+		JournalBytes:        journal.DefaultConfig().MaxPendingBytes,
 		CallerConnections:   defaultCallerConnections,
 		InternalConnections: defaultInternalConnections,
 		RuntimeBytes:        memory * runtimePercent / 100,
 	}
 	if memory > 0 {
 		parts.BufferedBytes = min(parts.BufferedBytes, memory/bufferFraction)
+		parts.JournalBytes = min(parts.JournalBytes, int(memory/journalFraction))
 		parts.CallerConnections = min(parts.CallerConnections, int(memory/connectionFraction/connectionBytes))
 	}
 	if parts.ReceivedBytes == 0 {
--- a/router/process/node/state.go
+++ b/router/process/node/state.go
@@ -115,6 +115,9 @@
 	Witness *quota.Witness
 	// JournalBuffer has the journal records of this process that are not stored yet.
 	JournalBuffer *journal.Buffer
+	// JournalFull reports whether JournalBuffer is full. It is written by the control thread
+	// and read by the goroutines of requests.
+	JournalFull *atomic.Bool
 	// Replicas has copies of peers' journal records that are not stored yet.
 	Replicas *journal.Replicas
 	// ActiveSnapshot has the configuration of the active generation. It is shared with the
@@ -243,6 +246,7 @@
 	journalConfig := journal.DefaultConfig()
 	journalConfig.RequiredCopies = settings.Journal.Copies
 	journalConfig.FlushInterval = settings.Journal.FlushInterval
+	journalConfig.MaxPendingBytes = settings.Resources().JournalBytes
 	state := &State{
 		Self:           self.Incarnation,
 		Clock:          clk,
@@ -262,6 +266,7 @@
 		WatchesStore:   &atomic.Bool{},
 		ListReceivedAt: &atomic.Pointer[time.Time]{},
 		Members:        &atomic.Pointer[[]member.Member]{},
+		JournalFull:    &atomic.Bool{},
 		ActiveNumber:   &atomic.Int64{},
 		Retries:        retry.NewBudgets(retry.BudgetDefaults(), clk),
 		Prompts:        quarantine.New(quarantine.Defaults()),
@@ -280,6 +285,7 @@
 		maintained:     newSchedule(self.Incarnation, now),
 		refilled:       newSchedule(self.Incarnation, now),
 	}
+	state.Replicas.MaxBytes = journalConfig.MaxPendingBytes
 	state.Quota.VM = self.VM
 	state.Quota.Window = settings.Quota.Window
 	state.WatchesStore.Store(true)
--- a/router/process/node/wire.go
+++ b/router/process/node/wire.go
@@ -26,7 +26,7 @@
 		ServedSampler: event.NewSampler(n.Settings.Log.ServedPerSecond),
 		Metrics:       n.metrics,
 		Credits:       NewCreditReserver(n.thread, n.state.Quota.Balances),
-		Recorder:      NewRecorder(n.thread, n.Settings.Journal.Wait),
+		Recorder:      NewRecorder(n.thread, n.Settings.Journal.Wait, n.state.JournalFull),
 		Endpoints:     n.state.Endpoints,
 		Slots:         serve.NewSlots(n.Clock, n.state.Endpoints, n.Settings.Limits.MaxQueueWait),
 		Picker:        balancer.New(balancer.Defaults(n.Settings.Locality()), random.New()),
