serve: Cut no stream whose endpoint pauses

Cause: the stall timeout canceled an attempt before it was decided whether another endpoint may continue the stream, and canceled it as well if none may.

Change: once the caller has a part of a stream, a silent attempt is canceled only if the route, the attempts, the endpoints of the pool and the retry budget allow another one, which is then taken from the budget. Otherwise the stream waits until the timeout of its request. The silence counts as a failure for the ejection of the endpoint.

Ruled out: the drain; the cuts come without a SIGTERM.

--- a/fleet/connection/endpoint/body.go
+++ b/fleet/connection/endpoint/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"jacinthpaddle.example/fleet/process/clock"
@@ -13,27 +14,65 @@
 type inactivityTimer struct {
 	clock  clock.Clock
 	cancel context.CancelCauseFunc
-	timer  interface{ Stop() bool }
+	// giveUp, if set, decides at the end of the timeout whether to cancel the request or to
+	// start the timer anew. It is called with the mutex held, so that the reader of the
+	// response does not go on meanwhile.
+	giveUp func() bool
+
+	mu    sync.Mutex
+	timer interface{ Stop() bool }
+	// started is the number of calls of start, by which a timer that was stopped too late
+	// recognizes that.
+	started int
+	// renewedAt is when the timer was last started anew, or zero.
+	renewedAt time.Time
 }
 
 func newInactivityTimer(clk clock.Clock, cancel context.CancelCauseFunc) *inactivityTimer {
 	return &inactivityTimer{clock: clk, cancel: cancel}
 }
 
-// start starts the timer. A timeout of zero or less is no timeout.
-func (t *inactivityTimer) start(timeout time.Duration) {
+// start starts the timer. Renewals last for the whole period. A timeout of zero or less is no
+// timeout.
+func (t *inactivityTimer) start(timeout, period time.Duration) {
 	if timeout <= 0 {
 		return
 	}
-	t.timer = t.clock.AfterFunc(timeout, func() {
-		t.cancel(&InactivityError{Timeout: timeout})
-	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.started++
+	t.renewedAt = time.Time{}
+	t.arm(t.started, timeout, period)
+}
+
+// arm starts the timer of the call of start with the number. The mutex must be held.
+func (t *inactivityTimer) arm(number int, timeout, period time.Duration) {
+	t.timer = t.clock.AfterFunc(timeout, func() { t.expire(number, period) })
 }
 
-func (t *inactivityTimer) stop() {
+// expire cancels the request or starts the timer anew, unless the timer was stopped.
+func (t *inactivityTimer) expire(number int, period time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case number != t.started:
+	case t.giveUp == nil || t.giveUp():
+		t.cancel(&InactivityError{Timeout: period})
+	default:
+		t.renewedAt = t.clock.Now()
+		t.arm(number, period, period)
+	}
+}
+
+// stop stops the timer and returns when it was last started anew, or zero.
+func (t *inactivityTimer) stop() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.started++
 	if t.timer != nil {
 		t.timer.Stop()
 	}
+	return t.renewedAt
 }
 
 // body is the body of a response. Its errors are CallErrors, except for io.EOF.
@@ -69,9 +108,11 @@
 		}
 	}
 	started := b.client.clock.Now()
-	b.inactivity.start(timeout)
+	b.inactivity.start(timeout, b.stallTimeout)
 	count, err := b.inner.Read(content)
-	b.inactivity.stop()
+	if renewedAt := b.inactivity.stop(); !renewedAt.IsZero() {
+		b.waited, started = 0, renewedAt
+	}
 	b.waited += b.client.clock.Since(started)
 	if count > 0 {
 		b.phase = MidStream
--- a/fleet/connection/endpoint/client.go
+++ b/fleet/connection/endpoint/client.go
@@ -79,6 +79,9 @@
 	// Stall bounds the wait for each further part of the response, or for its progress
 	// after Response.MeasureProgress.
 	Stall time.Duration
+	// GiveUp, if set, decides when an endpoint has sent nothing for Stall whether the request
+	// is given up or waits for as long again. It is called by another goroutine.
+	GiveUp func() bool
 }
 
 // Call is one request to an endpoint.
@@ -196,7 +199,7 @@
 		return nil, &CallError{Address: c.address, Phase: BeforeConnect, Cause: err}
 	}
 	inactivity := newInactivityTimer(c.clock, cancel)
-	inactivity.start(call.Limits.Header)
+	inactivity.start(call.Limits.Header, call.Limits.Header)
 	transport := c.transport
 	if call.OwnConnection {
 		transport = c.ownConnections
@@ -209,7 +212,7 @@
 		cancel(nil)
 		return nil, failure
 	}
-	return c.newResponse(ctx, cancel, response, call.Limits.Stall), nil
+	return c.newResponse(ctx, cancel, response, call.Limits), nil
 }
 
 // request builds the HTTP request.
@@ -289,7 +292,9 @@
 	}
 }
 
-func (c *Client) newResponse(ctx context.Context, cancel context.CancelCauseFunc, response *http.Response, stall time.Duration) *Response {
+func (c *Client) newResponse(ctx context.Context, cancel context.CancelCauseFunc, response *http.Response, limits Limits) *Response {
+	inactivity := newInactivityTimer(c.clock, cancel)
+	inactivity.giveUp = limits.GiveUp
 	return &Response{
 		ResponseInfo: c.dialect.ReadResponse(response.StatusCode, response.Header),
 		Status:       response.StatusCode,
@@ -300,8 +305,8 @@
 			ctx:          ctx,
 			cancel:       cancel,
 			inner:        response.Body,
-			inactivity:   newInactivityTimer(c.clock, cancel),
-			stallTimeout: stall,
+			inactivity:   inactivity,
+			stallTimeout: limits.Stall,
 			phase:        AfterHeaders,
 		},
 	}
--- a/fleet/connection/endpoint/poller.go
+++ b/fleet/connection/endpoint/poller.go
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	inactivity := newInactivityTimer(p.clock, cancel)
-	inactivity.start(p.config.PollTimeout)
+	inactivity.start(p.config.PollTimeout, p.config.PollTimeout)
 	defer inactivity.stop()
 
 	requestedAt := p.clock.Now()
--- a/fleet/request/balancer/picker.go
+++ b/fleet/request/balancer/picker.go
@@ -143,6 +143,11 @@
 	p.ejector.recordResult(members, state, result, now)
 }
 
+// ObserveFailure records for outlier ejection that an endpoint fails a request that goes on.
+func (p *Picker) ObserveFailure(members []*endpoint.State, state *endpoint.State, now time.Time) {
+	p.ejector.recordResult(members, state, Failure, now)
+}
+
 // acquire counts the request as in flight at the endpoint and returns true, unless the
 // endpoint is ejected, at its limit, or cold without a share of this process left.
 func (p *Picker) acquire(state *endpoint.State, request Request) bool {
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -59,6 +59,8 @@
 	startedAttempts int
 	// mayHaveArrived is true if a part of the request may have reached an endpoint.
 	mayHaveArrived bool
+	// retryTaken is true if the next retry was taken from the budget already.
+	retryTaken bool
 	// last is the result of the latest attempt, with the largest charge so far.
 	last RelayResult
 	// errorResponse is the latest error response of an endpoint that may be forwarded
@@ -80,7 +82,7 @@
 		}
 		repeated := slices.Contains(state.attempted, chosen)
 		state.attempted = append(state.attempted, chosen)
-		result, failure := r.attempt(ctx, job, chosen, repeated, sink)
+		result, failure := r.attempt(ctx, state, chosen, repeated, sink)
 		if result.Err == nil {
 			r.logServed(state, result)
 			return result
@@ -88,10 +90,11 @@
 		if !r.shouldRetry(ctx, state, result, failure) {
 			return r.failedResult(state, nil)
 		}
-		if state.mayHaveArrived && !retryBudget.Take(r.Clock.Now()) {
+		if state.mayHaveArrived && !state.retryTaken && !retryBudget.Take(r.Clock.Now()) {
 			r.logFailedAttempt(state, failure, retry.BudgetEmpty)
 			return r.failedResult(state, nil)
 		}
+		state.retryTaken = false
 		if !r.waitBackoff(ctx, len(state.attempted)) {
 			return r.failedResult(state, nil)
 		}
@@ -108,8 +111,19 @@
 	if result.ErrorResponse != nil {
 		state.errorResponse = result.ErrorResponse
 	}
+	decision := r.decide(ctx, state, failure)
+	state.run = decision.Run
+	state.startedAttempts = decision.Started
+	state.mayHaveArrived = state.mayHaveArrived || failure.phase.Arrived()
+	r.logFailedAttempt(state, failure, decision.Reason)
+	var disconnected *CallerDisconnectedError
+	return decision.Action == retry.Again && ctx.Err() == nil && !errors.As(result.Err, &disconnected)
+}
+
+// decide returns what the retry policy decides after a failed attempt.
+func (r *Runner) decide(ctx context.Context, state *requestState, failure attemptFailure) retry.Decision {
 	deadline, _ := ctx.Deadline()
-	decision := r.RetryPolicy.Decide(retry.Failure{
+	return r.RetryPolicy.Decide(retry.Failure{
 		Idempotent:  state.job.Plan.Idempotent,
 		Phase:       failure.phase,
 		Forwarded:   failure.delivered && !state.job.Plan.Resumable,
@@ -121,12 +135,6 @@
 		Deadline:    deadline,
 		Suspect:     failure.suspect,
 	}, r.Clock.Now())
-	state.run = decision.Run
-	state.startedAttempts = decision.Started
-	state.mayHaveArrived = state.mayHaveArrived || failure.phase.Arrived()
-	r.logFailedAttempt(state, failure, decision.Reason)
-	var disconnected *CallerDisconnectedError
-	return decision.Action == retry.Again && ctx.Err() == nil && !errors.As(result.Err, &disconnected)
 }
 
 // waitBackoff waits for the backoff before the next attempt. It returns false if the
@@ -144,11 +152,16 @@
 
 // attempt sends the request to the endpoint once and relays the response. It is a repeated
 // attempt if the request was sent to the endpoint before.
-func (r *Runner) attempt(ctx context.Context, job Job, chosen *endpoint.State, repeated bool, sink Sink) (RelayResult, attemptFailure) {
+func (r *Runner) attempt(ctx context.Context, state *requestState, chosen *endpoint.State, repeated bool, sink Sink) (RelayResult, attemptFailure) {
+	job := state.job
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	call := r.newCall(ctx, job, chosen)
 	call.OwnConnection = repeated
+	guard := &silenceGuard{runner: r, ctx: ctx, state: state, chosen: chosen}
+	guard.forwarded.Store(state.last.Delivered)
+	call.Limits.GiveUp = guard.giveUp
+	sink = &forwardObserver{Sink: sink, forwarded: &guard.forwarded}
 	responseStarted := chosen.TrackPending(job.PromptTokens)
 	defer responseStarted()
 	response, err := chosen.Do(ctx, call)
--- a/fleet/request/serve/events.go
+++ b/fleet/request/serve/events.go
@@ -138,11 +138,7 @@
 	if !e.started && errors.As(err, &call) {
 		return err
 	}
-	code := outcome.EndpointFailed
-	if errors.As(err, &call) && call.Inactive {
-		code = outcome.TimedOut
-	}
-	return &outcome.Error{Code: code, Run: journal.Ran, Object: "endpoint", Reason: "the endpoint's stream broke off", Cause: err}
+	return &outcome.Error{Code: outcomeCode(err), Run: journal.Ran, Object: "endpoint", Reason: "the endpoint's stream broke off", Cause: err}
 }
 
 // deliver sends complete events to the caller, except for those that it already has.
--- a/fleet/request/serve/stream.go
+++ b/fleet/request/serve/stream.go
@@ -84,13 +84,8 @@
 	if !s.result.Delivered {
 		return err
 	}
-	code := outcome.EndpointFailed
-	var call *endpoint.CallError
-	if errors.As(err, &call) && call.Inactive {
-		code = outcome.TimedOut
-	}
 	return &outcome.Error{
-		Code:   code,
+		Code:   outcomeCode(err),
 		Run:    journal.Ran,
 		Object: "endpoint",
 		Reason: "the endpoint's stream broke off",
