--- a/fleet/connection/endpoint/body.go
+++ b/fleet/connection/endpoint/body.go
@@ -32,8 +32,8 @@
 	return &inactivityTimer{clock: clk, cancel: cancel}
 }
 
-// start starts the timer. Renewals last for the whole period. A timeout of zero or less is no
-// timeout.
+// start starts the timer for what is left of the period, which starts anew as a whole if giveUp
+// allows it. A timeout of zero or less is no timeout.
 func (t *inactivityTimer) start(timeout, period time.Duration) {
 	if timeout <= 0 {
 		return
--- a/fleet/request/serve/pick.go
+++ b/fleet/request/serve/pick.go
@@ -15,8 +15,7 @@
 
 // pick chooses an endpoint in the home regions and counts the request as in flight at it.
 // Endpoints that were attempted, or that failed with a suspect part of the prompt, are a last
-// resort. Its error is an *outcome.Error. Each success must be followed
-// by one call of release.
+// resort. Its error is an *outcome.Error. Each success must be followed by one call of release.
 func (r *Runner) pick(job Job, attempted []*endpoint.State) (*endpoint.State, error) {
 	endpoints := r.Endpoints.View().InPool(job.Plan.Pool.Name)
 	if job.Plan.Homes.Bound() {
