launch: Ignore SIGPIPE

Callers would see: all streams of a router are cut because nothing reads its standard output any more, such as when the collector of the logs starts again.

Cause: the runtime ends a process that writes to a closed standard output, by the default action of SIGPIPE.

Change: the signal is ignored.

Evidence: proof.TestRouterOutlivesTheReaderOfItsLog failed before, with four of four streams cut and no exit code.

--- a/proof/process/harness/process.go
+++ b/proof/process/harness/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"os/exec"
 	"strings"
 	"sync"
@@ -26,15 +27,26 @@
 type buffer struct {
 	mu      sync.Mutex
 	content bytes.Buffer
+	closed  bool
 }
 
 // Write implements io.Writer.
 func (b *buffer) Write(data []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.closed {
+		return 0, io.ErrClosedPipe
+	}
 	return b.content.Write(data)
 }
 
+// close makes all later writes fail.
+func (b *buffer) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+}
+
 // String returns the whole output.
 func (b *buffer) String() string {
 	b.mu.Lock()
@@ -77,6 +89,11 @@
 	Await(t, p.name+" to log "+text, func() bool { return strings.Contains(p.Log(), text) })
 }
 
+// CloseLog ends the reader of the output of the process.
+func (p *process) CloseLog() {
+	p.log.close()
+}
+
 // Signal sends the signal unless the process has exited.
 func (p *process) Signal(signal syscall.Signal) {
 	select {
--- a/proof/signals_test.go
+++ b/proof/signals_test.go
@@ -59,6 +59,27 @@
 	f.AwaitStarted(t, 0)
 }
 
+// TestRouterOutlivesTheReaderOfItsLog guards against a router that ends because nothing reads
+// its standard output any more: the runtime's default action of SIGPIPE ends the process.
+func TestRouterOutlivesTheReaderOfItsLog(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Config{Network: 28, Routers: 1, Endpoints: 1, EndpointFlags: loadedEndpointFlags})
+	router := f.Routers[0]
+	streams := startPinnedStreams(t, router, f.CallerAddresses())
+	router.Process.CloseLog()
+	dumps := 0
+	harness.Await(t, "some log lines", func() bool {
+		router.Process.Signal(syscall.SIGUSR1)
+		dumps++
+		return dumps > 20
+	})
+	checkNoFailures(t, streams.Stop())
+	router.Process.Terminate(t, harness.DrainTimeout)
+	if got := router.Process.Command.ProcessState.ExitCode(); got != 0 {
+		t.Errorf("exit code: got %d, want 0", got)
+	}
+}
+
 // openForReader opens the named pipe for writing once a process has opened it for reading.
 func openForReader(t *testing.T, path string) *os.File {
 	t.Helper()
--- a/router/process/launch/signals.go
+++ b/router/process/launch/signals.go
@@ -23,8 +23,9 @@
 
 // catchSignals replaces the default actions of the signals until the process exits. None
 // is ever restored, since SIGHUP would then end a process that drains or writes its last
-// log lines.
+// log lines. SIGPIPE is ignored, so that a log that nobody reads any more fails only the write.
 func catchSignals() signals {
+	signal.Ignore(syscall.SIGPIPE)
 	terminated, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	return signals{terminated: terminated, reload: notify(syscall.SIGHUP), dump: notify(syscall.SIGUSR1)}
 }
