--- a/router/process/node/generation_test.go
+++ b/router/process/node/generation_test.go
@@ -28,13 +28,15 @@
 	read    bool
 }
 
-// published, sent and read return the steps of a scenario.
+// published returns the step in which an operator publishes the next generation.
 func published(credits int64) generationStep { return generationStep{publish: credits} }
 
+// sent returns the step in which a peer sends a generation.
 func sent(number, credits int64) generationStep {
 	return generationStep{peer: number, credits: credits}
 }
 
+// read is the step in which the router reads the store.
 var read = generationStep{read: true}
 
 // TestGenerationIsTheNewestFromAnySource guards against a reading that is skipped because it
@@ -42,10 +44,10 @@
 // was taken away stayed valid for as long as the process lived.
 func TestGenerationIsTheNewestFromAnySource(t *testing.T) {
 	tests := []struct {
-		name       string
-		steps      []generationStep
-		wantNumber int64
-		wantValue  int64
+		name        string
+		steps       []generationStep
+		wantNumber  int64
+		wantCredits int64
 	}{
 		{"taken back while cut off", []generationStep{published(10), read, published(20), sent(2, 20), published(10), read}, 3, 10},
 		{"given back while cut off", []generationStep{published(20), read, published(10), sent(2, 10), published(20), read}, 3, 20},
@@ -74,8 +76,8 @@
 				}
 			}
 			got := control.Query(router.thread, func(state *node.State) generation.Generation { return state.Generation })
-			if credits := got.Set.Budgets[0].Purchased; got.Number != test.wantNumber || credits != test.wantValue {
-				t.Errorf("generation: got %d with %d credits, want %d with %d", got.Number, credits, test.wantNumber, test.wantValue)
+			if credits := got.Set.Budgets[0].Purchased; got.Number != test.wantNumber || credits != test.wantCredits {
+				t.Errorf("generation: got %d with %d credits, want %d with %d", got.Number, credits, test.wantNumber, test.wantCredits)
 			}
 		})
 	}
@@ -99,11 +101,11 @@
 // contentOf returns the message with which a peer sends a generation.
 func contentOf(t *testing.T, number, credits int64) *peer.Generation {
 	t.Helper()
-	sent, err := generation.New(number, creditsOfHall(credits))
+	made, err := generation.New(number, creditsOfHall(credits))
 	if err != nil {
 		t.Fatal(err)
 	}
-	content, err := generation.Encode(sent)
+	content, err := generation.Encode(made)
 	if err != nil {
 		t.Fatal(err)
 	}
