--- a/fleet/process/quarantine/quarantine.go
+++ b/fleet/process/quarantine/quarantine.go
@@ -289,23 +289,27 @@
 		t.Crashes[endpoint] = slices.DeleteFunc(crashes, func(crash Crash) bool { return isOld(crash.At) })
 	}
 	maps.DeleteFunc(t.Crashes, func(_ string, crashes []Crash) bool { return len(crashes) == 0 })
-	expired := false
-	var groups map[Part][]Part
+	expired := t.expireSuspects(now, isOld)
+	return t.expireHolds(now) || expired
+}
+
+// expireSuspects drops the failures that are too old, and releases the parts that are no
+// longer quarantined because of that. It reports whether there were any failures.
+func (t *Tracker) expireSuspects(now time.Time, isOld func(at time.Time) bool) bool {
+	hasOld := func(known []Suspicion) bool { return isOld(known[0].At) }
+	if !slices.ContainsFunc(slices.Collect(maps.Values(t.Suspects)), hasOld) {
+		return false
+	}
+	groups := t.View().Groups
 	for part, known := range t.Suspects {
-		switch first := slices.IndexFunc(known, func(s Suspicion) bool { return !isOld(s.At) }); first {
-		case 0:
-			continue
-		case -1:
-			groups = t.groupsBefore(groups)
-			delete(t.Suspects, part)
-		default:
-			groups = t.groupsBefore(groups)
+		if first := slices.IndexFunc(known, func(s Suspicion) bool { return !isOld(s.At) }); first >= 0 {
 			t.Suspects[part] = known[first:]
+		} else {
+			delete(t.Suspects, part)
 		}
-		expired = true
 	}
 	t.releaseExpired(groups, now)
-	return t.expireHolds(now) || expired
+	return true
 }
 
 // Failures returns all failures that count, for a process that knows none of them.
--- a/fleet/process/quarantine/release.go
+++ b/fleet/process/quarantine/release.go
@@ -5,16 +5,8 @@
 	"time"
 )
 
-// groupsBefore returns the groups of quarantined parts as they are before the first failure
-// expires, with nil as the groups that were not derived yet.
-func (t *Tracker) groupsBefore(groups map[Part][]Part) map[Part][]Part {
-	if groups == nil {
-		groups = t.View().Groups
-	}
-	return groups
-}
-
-// releaseExpired releases the parts of the groups whose remaining failures do not suffice.
+// releaseExpired releases the parts that were quarantined in the groups and whose remaining
+// failures do not suffice.
 func (t *Tracker) releaseExpired(groups map[Part][]Part, now time.Time) {
 	for part, group := range groups {
 		if !t.isQuarantined(t.Suspects[part]) && t.Released[part].HeldUntil.IsZero() {
