--- a/fleet/process/journal/buffer.go
+++ b/fleet/process/journal/buffer.go
@@ -294,14 +294,7 @@
 
 // hasFullSegment reports whether the pending records fill a segment.
 func (b *Buffer) hasFullSegment() bool {
-	bytes := 0
-	for index, pending := range b.pending {
-		bytes += pending.bytes
-		if index+1 >= MaxSegmentRecords || bytes > MaxSegmentBytes {
-			return true
-		}
-	}
-	return false
+	return len(b.pending) >= MaxSegmentRecords || b.pendingBytes > MaxSegmentBytes
 }
 
 // urgent reports whether a record must be stored before the flush interval has passed. If
--- a/fleet/request/serve/attempt.go
+++ b/fleet/request/serve/attempt.go
@@ -161,7 +161,6 @@
 	guard := &silenceGuard{runner: r, ctx: ctx, state: state, chosen: chosen}
 	guard.forwarded.Store(state.last.Delivered)
 	call.Limits.GiveUp = guard.giveUp
-	sink = &forwardObserver{Sink: sink, forwarded: &guard.forwarded}
 	responseStarted := chosen.TrackPending(job.PromptTokens)
 	defer responseStarted()
 	response, err := chosen.Do(ctx, call)
@@ -183,7 +182,10 @@
 		r.release(job, chosen, classifyUnrelayed(response, err))
 		return RelayResult{Err: err, ErrorResponse: readErrorResponse(job, response, err)}, failed
 	}
-	result := job.Relay.Relay(ctx, job.Plan, response, &startObserver{Sink: sink, onData: responseStarted})
+	result := job.Relay.Relay(ctx, job.Plan, response, &startObserver{Sink: sink, onData: func() {
+		responseStarted()
+		guard.forwarded.Store(true)
+	}})
 	r.release(job, chosen, classifyRelayed(response, result.Err))
 	failed.delivered = result.Delivered
 	if result.Err == nil {
--- a/fleet/request/serve/events_test.go
+++ b/fleet/request/serve/events_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -70,12 +68,9 @@
 	made.plan.MaxStarted = 2
 	second := httptest.NewServer(script)
 	t.Cleanup(second.Close)
-	host, port, _ := net.SplitHostPort(second.Listener.Addr().String())
-	number, _ := strconv.Atoi(port)
-	list := []vm.VM{
-		{Name: "runner-1", Address: host, Pool: "runners", State: vm.Live},
-		{Name: "runner-2", Address: host, Port: number, Pool: "runners", State: vm.Live},
-	}
+	first := listed("runner-1", second)
+	first.Port = made.plan.Pool.Port
+	list := []vm.VM{first, listed("runner-2", second)}
 	table := endpoint.NewTable(endpoint.Defaults(vm.Locality{}, "self"), clock.New())
 	table.Update(list, []declaration.Pool{made.plan.Pool})
 	made.runner.Endpoints = table
--- a/fleet/request/serve/pick.go
+++ b/fleet/request/serve/pick.go
@@ -17,10 +17,7 @@
 // Endpoints that were attempted, or that failed with a suspect part of the prompt, are a last
 // resort. Its error is an *outcome.Error. Each success must be followed by one call of release.
 func (r *Runner) pick(job Job, attempted []*endpoint.State) (*endpoint.State, error) {
-	endpoints := r.Endpoints.View().InPool(job.Plan.Pool.Name)
-	if job.Plan.Homes.Bound() {
-		endpoints = inHomes(endpoints, job.Plan.Homes)
-	}
+	endpoints := r.homeEndpoints(job)
 	state, ok := r.Picker.Pick(endpoints, balancer.Request{
 		Now:          r.Clock.Now(),
 		Prefix:       job.PrefixHash,
@@ -77,6 +74,15 @@
 	}
 }
 
+// homeEndpoints returns the endpoints of the pool in the home regions of the request.
+func (r *Runner) homeEndpoints(job Job) []*endpoint.State {
+	endpoints := r.Endpoints.View().InPool(job.Plan.Pool.Name)
+	if !job.Plan.Homes.Bound() {
+		return endpoints
+	}
+	return inHomes(endpoints, job.Plan.Homes)
+}
+
 // inHomes returns the endpoints that are in the home regions.
 func inHomes(endpoints []*endpoint.State, bound homes.Homes) []*endpoint.State {
 	allowed := make([]*endpoint.State, 0, len(endpoints))
--- a/fleet/request/serve/serve_test.go
+++ b/fleet/request/serve/serve_test.go
@@ -117,6 +117,13 @@
 	return l.source.Float64()
 }
 
+// listed returns the server as an endpoint on the list of VMs.
+func listed(name string, server *httptest.Server) vm.VM {
+	host, port, _ := net.SplitHostPort(server.Listener.Addr().String())
+	number, _ := strconv.Atoi(port)
+	return vm.VM{Name: name, Address: host, Port: number, Pool: "runners", State: vm.Live}
+}
+
 func newHarness(t *testing.T, handler http.HandlerFunc) *harness {
 	t.Helper()
 	server := httptest.NewServer(handler)
@@ -125,12 +132,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	host, port, _ := net.SplitHostPort(server.Listener.Addr().String())
-	number, _ := strconv.Atoi(port)
-	pool := declaration.Pool{Name: "runners", Kind: declaration.EndpointPool, Port: number}
+	runner := listed("runner-1", server)
+	pool := declaration.Pool{Name: "runners", Kind: declaration.EndpointPool, Port: runner.Port}
 	source := &lockedSource{source: rand.New(rand.NewPCG(1, 2))}
 	table := endpoint.NewTable(endpoint.Defaults(vm.Locality{}, "self"), clock.New())
-	table.Update([]vm.VM{{Name: "runner-1", Address: host, Pool: "runners", State: vm.Live}}, []declaration.Pool{pool})
+	table.Update([]vm.VM{runner}, []declaration.Pool{pool})
 	made := &harness{balance: &quota.Balance{}, recorder: &recorder{}, sink: &sink{}}
 	made.balance.Add(purchased)
 	made.plan = admission.Plan{
--- a/fleet/request/serve/silence.go
+++ b/fleet/request/serve/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"sync/atomic"
 
@@ -57,28 +56,9 @@
 	return true
 }
 
-// hasOther reports whether the pool has a usable endpoint that was not attempted.
+// hasOther reports whether the home regions have a usable endpoint that was not attempted.
 func (r *Runner) hasOther(job Job, attempted []*endpoint.State) bool {
-	return slices.ContainsFunc(r.Endpoints.View().InPool(job.Plan.Pool.Name), func(state *endpoint.State) bool {
-		return state.Usable() && !slices.Contains(attempted, state) &&
-			(!job.Plan.Homes.Bound() || job.Plan.Homes.Allows(state.VM.Region))
+	return slices.ContainsFunc(r.homeEndpoints(job), func(state *endpoint.State) bool {
+		return state.Usable() && !slices.Contains(attempted, state)
 	})
 }
-
-// forwardObserver is a Sink that sets forwarded at each delivery.
-type forwardObserver struct {
-	Sink
-	forwarded *atomic.Bool
-}
-
-// Begin implements Sink.
-func (o *forwardObserver) Begin(status int, header http.Header) error {
-	o.forwarded.Store(true)
-	return o.Sink.Begin(status, header)
-}
-
-// Part implements Sink.
-func (o *forwardObserver) Part(part []byte) error {
-	o.forwarded.Store(true)
-	return o.Sink.Part(part)
-}
--- a/fleet/request/serve/silence_test.go
+++ b/fleet/request/serve/silence_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +14,6 @@
 	"jacinthpaddle.example/fleet/connection/endpoint"
 	"jacinthpaddle.example/fleet/process/clock"
 	"jacinthpaddle.example/fleet/process/vm"
-	"jacinthpaddle.example/fleet/request/balancer"
 	"jacinthpaddle.example/fleet/request/outcome"
 	"jacinthpaddle.example/fleet/request/retry"
 	"jacinthpaddle.example/fleet/request/serve"
@@ -46,9 +43,7 @@
 	for index := range endpoints {
 		server := httptest.NewServer(http.HandlerFunc(f.serve))
 		t.Cleanup(server.Close)
-		host, port, _ := net.SplitHostPort(server.Listener.Addr().String())
-		number, _ := strconv.Atoi(port)
-		list = append(list, vm.VM{Name: fmt.Sprint("runner-", index), Address: host, Port: number, Pool: "runners", State: vm.Live})
+		list = append(list, listed(fmt.Sprint("runner-", index), server))
 	}
 	table := endpoint.NewTable(endpoint.Defaults(vm.Locality{}, "self"), f.clock)
 	table.Update(list, []declaration.Pool{plan.Pool})
@@ -169,7 +164,7 @@
 		t.Errorf("error: got %v, want timed out", err)
 	}
 	state := f.harness.runner.Endpoints.View().InPool("runners")[0]
-	if got := state.ConsecutiveFailures.Load(); got != 1 || got >= balancer.EjectionDefaults().ConsecutiveFailures {
+	if got := state.ConsecutiveFailures.Load(); got != 1 {
 		t.Errorf("failures of the endpoint: got %d, want 1", got)
 	}
 }
--- a/fleet/request/serve/suspect_test.go
+++ b/fleet/request/serve/suspect_test.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -121,9 +119,7 @@
 func (f *crashFleet) restart() {
 	var list []vm.VM
 	for index, server := range f.servers {
-		host, port, _ := net.SplitHostPort(server.Listener.Addr().String())
-		number, _ := strconv.Atoi(port)
-		started := vm.VM{Name: fmt.Sprint("runner-", index), Address: host, Port: number, Pool: "runners", State: vm.Live}
+		started := listed(fmt.Sprint("runner-", index), server)
 		f.mu.Lock()
 		started.Incarnation = fmt.Sprint(f.crashes[index])
 		f.mu.Unlock()
--- a/router/process/node/journal.go
+++ b/router/process/node/journal.go
@@ -116,10 +116,9 @@
 // so.
 func (s *State) publishJournalFull() {
 	full := s.JournalBuffer.Full()
-	if full && !s.JournalFull.Swap(full) {
+	if wasFull := s.JournalFull.Swap(full); full && !wasFull {
 		s.Log.Emit(event.JournalFull, event.Int("entries", s.JournalBuffer.Pending()))
 	}
-	s.JournalFull.Store(full)
 }
 
 // SegmentStored is the result of storing a journal segment, successful or not.
